--- /dev/null
+++ b/src/denial.rs
@@ -0,0 +1,209 @@
+//! Why a request was refused, and what the caller is told.
+//!
+//! Each reason has one status, one error type and one code. Whether the request
+//! ran is not part of the reason: it follows from the state of its attempts.
+
+use http::StatusCode;
+
+use crate::time::Ms;
+
+/// Reason of a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Reason {
+    /// The body is not JSON or lacks a member.
+    BadBody,
+    /// A header is malformed.
+    BadHeader,
+    /// The body exceeds the limit.
+    BodyTooLarge,
+    /// The body did not arrive in time.
+    SlowBody,
+    /// No key came with the request.
+    MissingKey,
+    /// The key is not in the configuration.
+    UnknownKey,
+    /// The key was withdrawn.
+    WithdrawnKey,
+    /// The adapter or route belongs to another team.
+    OtherTeam,
+    /// The configuration names no such model or adapter.
+    UnknownModel,
+    /// The configuration names no such version of the adapter.
+    UnknownVersion,
+    /// The configuration names no such route.
+    UnknownRoute,
+    /// No such path or method.
+    NotFound,
+    /// The team's rate and burst over the whole fleet are used up.
+    RateExceeded,
+    /// The request asks for more tokens than the team's burst.
+    OverBurst,
+    /// No endpoint that serves the model is available.
+    NoEndpoint,
+    /// The request would miss its deadline in the queue.
+    Deadline,
+    /// The endpoint's queue is full.
+    Overloaded,
+    /// The adapter could not be loaded.
+    LoadFailed,
+    /// The node has no authority: it can reach neither the table service nor a peer.
+    NoAuthority,
+    /// The node is shutting down.
+    Draining,
+    /// No configuration is in force on this node.
+    NotReady,
+    /// The request crashed endpoints before.
+    Quarantined,
+    /// The idempotency key was used with another body.
+    KeyConflict,
+    /// A call with this idempotency key is running.
+    KeyInUse,
+    /// The outcome of the first call with this idempotency key is unknown.
+    OutcomeUnknown,
+    /// The claim could not be stored in time.
+    ClaimTimeout,
+    /// The endpoint failed while the request may have been running.
+    EndpointFailed,
+    /// The endpoint itself refused the request.
+    EndpointRefused,
+    /// The answer came from the wrong adapter; it was withheld.
+    WrongAdapter,
+    /// The caller went away.
+    Cancelled,
+}
+
+/// All reasons, for the pages and for exhaustive tests.
+pub const REASONS: &[Reason] = &[
+    Reason::BadBody,
+    Reason::BadHeader,
+    Reason::BodyTooLarge,
+    Reason::SlowBody,
+    Reason::MissingKey,
+    Reason::UnknownKey,
+    Reason::WithdrawnKey,
+    Reason::OtherTeam,
+    Reason::UnknownModel,
+    Reason::UnknownVersion,
+    Reason::UnknownRoute,
+    Reason::NotFound,
+    Reason::RateExceeded,
+    Reason::OverBurst,
+    Reason::NoEndpoint,
+    Reason::Deadline,
+    Reason::Overloaded,
+    Reason::LoadFailed,
+    Reason::NoAuthority,
+    Reason::Draining,
+    Reason::NotReady,
+    Reason::Quarantined,
+    Reason::KeyConflict,
+    Reason::KeyInUse,
+    Reason::OutcomeUnknown,
+    Reason::ClaimTimeout,
+    Reason::EndpointFailed,
+    Reason::EndpointRefused,
+    Reason::WrongAdapter,
+    Reason::Cancelled,
+];
+
+impl Reason {
+    /// Stable code, as in `error.code` and in refusal records.
+    pub fn code(self) -> &'static str {
+        self.row().1
+    }
+
+    /// HTTP status of the refusal.
+    pub fn status(self) -> StatusCode {
+        StatusCode::from_u16(self.row().0).expect("the table holds valid statuses")
+    }
+
+    /// Error type in the vocabulary of the callers' interface.
+    pub fn class(self) -> &'static str {
+        match self.row().0 {
+            401 => "authentication_error",
+            403 => "permission_error",
+            429 => "rate_limit_error",
+            400..=499 => "invalid_request_error",
+            _ => "server_error",
+        }
+    }
+
+    /// The reason with this code.
+    pub fn parse(code: &str) -> Option<Self> {
+        REASONS.iter().copied().find(|r| r.code() == code)
+    }
+
+    fn row(self) -> (u16, &'static str) {
+        match self {
+            Self::BadBody => (400, "bad_body"),
+            Self::BadHeader => (400, "bad_header"),
+            Self::BodyTooLarge => (413, "body_too_large"),
+            Self::SlowBody => (408, "slow_body"),
+            Self::MissingKey => (401, "missing_key"),
+            Self::UnknownKey => (401, "unknown_key"),
+            Self::WithdrawnKey => (401, "withdrawn_key"),
+            Self::OtherTeam => (403, "other_team"),
+            Self::UnknownModel => (404, "unknown_model"),
+            Self::UnknownVersion => (404, "unknown_version"),
+            Self::UnknownRoute => (404, "unknown_route"),
+            Self::NotFound => (404, "not_found"),
+            Self::RateExceeded => (429, "rate_exceeded"),
+            Self::OverBurst => (400, "over_burst"),
+            Self::NoEndpoint => (503, "no_endpoint"),
+            Self::Deadline => (503, "deadline"),
+            Self::Overloaded => (503, "overloaded"),
+            Self::LoadFailed => (503, "load_failed"),
+            Self::NoAuthority => (503, "no_authority"),
+            Self::Draining => (503, "draining"),
+            Self::NotReady => (503, "not_ready"),
+            Self::Quarantined => (422, "quarantined"),
+            Self::KeyConflict => (409, "key_conflict"),
+            Self::KeyInUse => (409, "key_in_use"),
+            Self::OutcomeUnknown => (409, "outcome_unknown"),
+            Self::ClaimTimeout => (503, "claim_timeout"),
+            Self::EndpointFailed => (502, "endpoint_failed"),
+            Self::EndpointRefused => (502, "endpoint_refused"),
+            Self::WrongAdapter => (502, "wrong_adapter"),
+            Self::Cancelled => (499, "cancelled"),
+        }
+    }
+}
+
+/// One refusal before it gets its identifier.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Denial {
+    /// Why.
+    pub reason: Reason,
+    /// Sentence for the caller.
+    pub message: String,
+    /// Whether the request may have run on an endpoint.
+    pub ran: bool,
+    /// Time after which a retry can help.
+    pub retry: Option<Ms>,
+    /// Figures that the decision used, for the refusal record.
+    pub facts: Vec<(&'static str, String)>,
+}
+
+impl Denial {
+    /// A refusal of a request that certainly did not run.
+    pub fn new(reason: Reason, message: impl Into<String>) -> Self {
+        Self { reason, message: message.into(), ran: false, retry: None, facts: Vec::new() }
+    }
+
+    /// A refusal of a request that may have run.
+    pub fn unknown(reason: Reason, message: impl Into<String>) -> Self {
+        Self { ran: true, ..Self::new(reason, message) }
+    }
+
+    /// Adds the time after which a retry can help.
+    pub fn retry_after(mut self, after: Ms) -> Self {
+        self.retry = Some(after);
+        self
+    }
+
+    /// Adds a figure for the refusal record.
+    pub fn fact(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.facts.push((name, value.to_string()));
+        self
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,13 @@
 //! I/O that take the time, inputs and random numbers as arguments; the shell
 //! around them carries inputs and outputs.
 
+pub mod denial;
 pub mod error;
 pub mod ids;
 pub mod platform;
 pub mod time;
 
+#[doc(hidden)]
+pub mod generated;
+
 pub use crate::error::{Category, Error, Place, Result};
