--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,12 @@
 //! I/O that take the time, inputs and random numbers as arguments; the shell
 //! around them carries inputs and outputs.
 
+pub mod attempt;
+mod bucket;
 pub mod error;
 pub mod ids;
 pub mod platform;
+pub mod quota;
 pub mod time;
 
 pub use crate::error::{Category, Error, Place, Result};
