--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,12 @@
 //! around them carries inputs and outputs.
 
 pub mod denial;
+pub mod attempt;
+mod bucket;
 pub mod error;
 pub mod ids;
 pub mod platform;
+pub mod quota;
 pub mod time;
 
 #[doc(hidden)]
