--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,13 @@
 
 pub mod error;
 pub mod ids;
+pub mod loads;
+pub mod place;
 pub mod platform;
+pub mod quarantine;
+pub mod queue;
+pub mod sched;
+pub mod slots;
 pub mod time;
 
 pub use crate::error::{Category, Error, Place, Result};
