--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,14 @@
 mod bucket;
 pub mod error;
 pub mod ids;
+pub mod loads;
+pub mod place;
 pub mod platform;
 pub mod quota;
+pub mod quarantine;
+pub mod queue;
+pub mod sched;
+pub mod slots;
 pub mod time;
 
 #[doc(hidden)]
