Add the configuration document, its check and key digests

The document is read field by field instead of with a derived deserializer, because a derived one stops at the first fault and a check must report all findings together, each with line and column. Findings carry stable codes.

--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,291 @@
+//! Check of a configuration document: reads it and reports all findings at once.
+//!
+//! This module reads the fields; `rules` holds what must hold between them.
+
+use serde_spanned::Spanned;
+
+use crate::config::{
+    AdapterDoc, Document, FamilyDoc, KeyDoc, LevelDoc, ModelDoc, PoolDoc, RouteDoc, RouteKind,
+    Serves, Shared, StoreDoc, TeamDoc,
+};
+use crate::fields::{Section, parse};
+use crate::finding::{Finding, Report, has_errors};
+use crate::{keys, rules};
+
+const TOP: &[&str] =
+    &["team", "key", "model", "adapter", "family", "pool", "route", "level", "store"];
+const TEAM: &[&str] = &["name", "rate", "burst", "weight"];
+const KEY: &[&str] = &["id", "team", "digest", "withdrawn"];
+const MODEL: &[&str] = &["name", "context"];
+const ADAPTER: &[&str] = &["name", "model", "team", "open", "versions", "default"];
+const FAMILY: &[&str] = &[
+    "names", "prefix", "first", "count", "digits", "model", "team", "open", "versions", "default",
+];
+const POOL: &[&str] = &["name", "model", "service"];
+const ROUTE: &[&str] = &[
+    "name",
+    "kind",
+    "pool",
+    "open",
+    "idempotent",
+    "status",
+    "priority",
+    "level",
+    "team",
+    "tokens",
+    "weight",
+];
+const LEVEL: &[&str] = &["name", "first", "between", "objective", "window"];
+const STORE: &[&str] = &["loads", "concurrent"];
+
+/// Result of a check.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    /// All findings in file order.
+    pub findings: Vec<Finding>,
+    /// The document, unless a finding is an error.
+    pub document: Option<Document>,
+}
+
+impl Checked {
+    /// Whether the document may be applied.
+    pub fn accepted(&self) -> bool {
+        self.document.is_some()
+    }
+}
+
+/// Checks the text of a configuration document that was read from `source`.
+///
+/// ```
+/// let checked = sycamorefork::check::check("trial.toml", "[[team]]\nname = \"a\"\n");
+/// assert!(!checked.accepted());
+/// assert_eq!(checked.findings[0].place.line, 1);
+/// ```
+pub fn check(source: &str, text: &str) -> Checked {
+    let mut report = Report::new(source, text);
+    let tree = parse(&mut report, text);
+    let top = Section::new(&mut report, tree.get_ref(), 0..0, "the document", TOP);
+    let document = read(&mut report, &top);
+    rules::check(&mut report, &document);
+    let findings = report.into_findings();
+    let document = (!has_errors(&findings)).then_some(document);
+    Checked { findings, document }
+}
+
+fn read(report: &mut Report<'_>, top: &Section<'_>) -> Document {
+    let r = report;
+    Document {
+        teams: each(r, top, "team", "a team", TEAM, team),
+        keys: each(r, top, "key", "a key", KEY, key),
+        models: each(r, top, "model", "a model", MODEL, |r, s| ModelDoc {
+            name: s.text(r, "name"),
+            context: s.count(r, "context"),
+        }),
+        adapters: each(r, top, "adapter", "an adapter", ADAPTER, |r, s| AdapterDoc {
+            name: s.text(r, "name"),
+            shared: shared(r, s),
+        }),
+        families: each(r, top, "family", "a family", FAMILY, family),
+        pools: each(r, top, "pool", "a pool", POOL, pool),
+        routes: each(r, top, "route", "a route", ROUTE, route),
+        levels: each(r, top, "level", "a service level", LEVEL, |r, s| LevelDoc {
+            name: s.text(r, "name"),
+            first: s.duration(r, "first"),
+            between: s.duration(r, "between"),
+            objective: s.number(r, "objective"),
+            window: s.duration(r, "window"),
+        }),
+        store: store(r, top),
+    }
+}
+
+fn each<T>(
+    report: &mut Report<'_>,
+    top: &Section<'_>,
+    field: &str,
+    what: &'static str,
+    known: &[&str],
+    one: impl Fn(&mut Report<'_>, &Section<'_>) -> T,
+) -> Vec<T> {
+    let sections = top.sections(report, field, what, known);
+    sections.iter().map(|s| one(report, s)).collect()
+}
+
+fn team(r: &mut Report<'_>, s: &Section<'_>) -> TeamDoc {
+    TeamDoc {
+        name: s.text(r, "name"),
+        rate: s.count(r, "rate"),
+        burst: s.count(r, "burst"),
+        weight: s.opt_number(r, "weight").unwrap_or_else(|| Spanned::new(s.span(), 1.0)),
+    }
+}
+
+fn key(r: &mut Report<'_>, s: &Section<'_>) -> KeyDoc {
+    for field in ["key", "secret", "token", "value"] {
+        if s.has(field) {
+            clear_text(r, s.at(field));
+        }
+    }
+    let digest = s.text(r, "digest");
+    if keys::looks_like_key(digest.get_ref()) {
+        clear_text(r, digest.span().start);
+    } else if s.has("digest") && !keys::is_digest(digest.get_ref()) {
+        r.add(
+            digest.span().start,
+            "E030",
+            "`digest` is not a SHA-256 digest of 64 lower-case hexadecimal digits",
+            "run `sycamorefork keys new` or `sycamorefork keys digest` and copy its digest",
+        );
+    }
+    KeyDoc {
+        id: s.text(r, "id"),
+        team: s.text(r, "team"),
+        digest,
+        withdrawn: s.flag(r, "withdrawn", false),
+    }
+}
+
+fn clear_text(r: &mut Report<'_>, at: usize) {
+    r.add(
+        at,
+        "E031",
+        "a key stands here in clear text",
+        "treat this key as disclosed: remove it, issue a new one with `sycamorefork keys new` \
+         and store only the digest",
+    );
+}
+
+fn shared(r: &mut Report<'_>, s: &Section<'_>) -> Shared {
+    let team = s.opt_text(r, "team");
+    let open = s.flag(r, "open", false);
+    if open && let Some(team) = &team {
+        r.add(
+            team.span().start,
+            "E040",
+            "an open adapter cannot belong to a team",
+            "remove `team`, or remove `open = true`",
+        );
+    }
+    if !open && !s.has("team") {
+        r.add(
+            s.offset(),
+            "E040",
+            "the adapter belongs to no team and is not open",
+            "add `team = \"...\"`, or `open = true` if every team may use it",
+        );
+    }
+    let versions = s.texts(r, "versions");
+    if versions.is_empty() {
+        r.add(s.at("versions"), "E041", "no version is listed", "add `versions = [\"...\"]`");
+    }
+    let default = match (s.opt_text(r, "default"), versions.as_slice()) {
+        (Some(default), _) => default,
+        (None, [only]) => only.clone(),
+        (None, _) => {
+            if !versions.is_empty() {
+                r.add(
+                    s.at("versions"),
+                    "E042",
+                    "several versions, but no default",
+                    "add `default = \"...\"` with the version to run when the caller names none",
+                );
+            }
+            Spanned::new(s.span(), String::new())
+        }
+    };
+    let listed = versions.iter().any(|v| v.get_ref() == default.get_ref());
+    if s.has("default") && !listed && !versions.is_empty() {
+        let message = format!("default version `{default}` is not in `versions`");
+        r.add(default.span().start, "E042", message, "add it to `versions` or name a listed one");
+    }
+    Shared { model: s.text(r, "model"), team, versions, default }
+}
+
+fn family(r: &mut Report<'_>, s: &Section<'_>) -> FamilyDoc {
+    let names = s.texts(r, "names");
+    let numbered = s.has("prefix") || s.has("count") || s.has("digits") || s.has("first");
+    let none = || Spanned::new(s.span(), 0);
+    let (prefix, count, digits) = match (s.has("names"), numbered) {
+        (true, false) => (Spanned::new(s.span(), String::new()), none(), none()),
+        (false, true) => (s.text(r, "prefix"), s.count(r, "count"), s.count(r, "digits")),
+        _ => {
+            r.add(
+                s.offset(),
+                "E043",
+                "a family has either `names` or `prefix`, `count` and `digits`",
+                "keep one of the two forms",
+            );
+            (Spanned::new(s.span(), String::new()), none(), none())
+        }
+    };
+    let first = s.opt_count(r, "first").map_or(0, Spanned::into_inner);
+    FamilyDoc { names, prefix, first, count, digits, shared: shared(r, s) }
+}
+
+fn pool(r: &mut Report<'_>, s: &Section<'_>) -> PoolDoc {
+    let (model, service) = (s.opt_text(r, "model"), s.opt_text(r, "service"));
+    let serves = match (model, service) {
+        (Some(m), None) => Spanned::new(m.span(), Serves::Model(m.into_inner())),
+        (None, Some(x)) => Spanned::new(x.span(), Serves::Service(x.into_inner())),
+        (model, _) => {
+            if model.is_some() || !(s.has("model") || s.has("service")) {
+                r.add(
+                    s.offset(),
+                    "E050",
+                    "a pool serves either a `model` or a `service`",
+                    "give exactly one of the two",
+                );
+            }
+            Spanned::new(s.span(), Serves::Service(String::new()))
+        }
+    };
+    PoolDoc { name: s.text(r, "name"), serves }
+}
+
+fn route(r: &mut Report<'_>, s: &Section<'_>) -> RouteDoc {
+    let kind = s.text(r, "kind");
+    let kind = match kind.get_ref().as_str() {
+        "service" => RouteKind::Service,
+        other => {
+            if other != "engine" && s.has("kind") {
+                r.add(
+                    kind.span().start,
+                    "E051",
+                    format_args!("`{other}` is not a kind of route"),
+                    "write `engine` or `service`",
+                );
+            }
+            RouteKind::Engine
+        }
+    };
+    RouteDoc {
+        name: s.text(r, "name"),
+        kind,
+        pool: s.text(r, "pool"),
+        open: s.flag(r, "open", false),
+        idempotent: s.flag(r, "idempotent", kind == RouteKind::Engine),
+        status: s.opt_text(r, "status"),
+        priority: s.opt_count(r, "priority").unwrap_or_else(|| Spanned::new(s.span(), 1)),
+        level: s.opt_text(r, "level"),
+        team: s.opt_text(r, "team"),
+        tokens: s.opt_count(r, "tokens").unwrap_or_else(|| Spanned::new(s.span(), 1)),
+        weight: s.opt_number(r, "weight").unwrap_or_else(|| Spanned::new(s.span(), 1.0)),
+    }
+}
+
+fn store(r: &mut Report<'_>, top: &Section<'_>) -> StoreDoc {
+    match top.section(r, "store", "the weight store", STORE) {
+        Some(s) => StoreDoc { loads: s.number(r, "loads"), concurrent: s.count(r, "concurrent") },
+        None => {
+            if !top.has("store") {
+                r.add(
+                    0,
+                    "E003",
+                    "the document has no `store`",
+                    "add [store] with `loads` per second and `concurrent` loads",
+                );
+            }
+            StoreDoc::default()
+        }
+    }
+}
--- /dev/null
+++ b/src/finding.rs
@@ -0,0 +1,140 @@
+//! Findings of a check: what is wrong in a document, where, and how to repair it.
+//!
+//! Codes are stable; operators and scripts may depend on them. `E` codes are
+//! errors, with which a document is not accepted; `W` codes are warnings.
+
+use std::fmt;
+
+use serde::{Serialize, Serializer};
+
+use crate::error::Place;
+
+/// Weight of a finding.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Severity {
+    /// The document is accepted.
+    Warning,
+    /// The document is not accepted.
+    Error,
+}
+
+/// One thing that is wrong in a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// Where it is.
+    #[serde(serialize_with = "place_text")]
+    pub place: Place,
+    /// Whether it prevents acceptance.
+    pub severity: Severity,
+    /// Stable code, for example `E011`.
+    pub code: &'static str,
+    /// What is wrong. Never contains the text of a key.
+    pub message: String,
+    /// What the operator can do.
+    pub remedy: String,
+}
+
+fn place_text<S: Serializer>(place: &Place, s: S) -> Result<S::Ok, S::Error> {
+    s.collect_str(place)
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let severity = match self.severity {
+            Severity::Warning => "warning",
+            Severity::Error => "error",
+        };
+        write!(f, "{}: {severity} {}: {}", self.place, self.code, self.message)?;
+        if !self.remedy.is_empty() {
+            write!(f, "\n    remedy: {}", self.remedy)?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether any finding prevents acceptance.
+pub fn has_errors(findings: &[Finding]) -> bool {
+    findings.iter().any(|f| f.severity == Severity::Error)
+}
+
+/// Collects the findings of one file.
+#[derive(Debug)]
+pub struct Report<'a> {
+    source: &'a str,
+    text: &'a str,
+    findings: Vec<(usize, Finding)>,
+}
+
+impl<'a> Report<'a> {
+    /// An empty report on `text`, which was read from `source`.
+    pub fn new(source: &'a str, text: &'a str) -> Self {
+        Self { source, text, findings: Vec::new() }
+    }
+
+    /// Adds a finding at a byte offset; the code's first letter gives the severity.
+    pub fn add(
+        &mut self,
+        offset: usize,
+        code: &'static str,
+        message: impl fmt::Display,
+        remedy: impl fmt::Display,
+    ) {
+        let severity = if code.starts_with('W') { Severity::Warning } else { Severity::Error };
+        let finding = Finding {
+            place: self.place(offset),
+            severity,
+            code,
+            message: message.to_string(),
+            remedy: remedy.to_string(),
+        };
+        self.findings.push((offset, finding));
+    }
+
+    /// All findings in file order.
+    pub fn into_findings(mut self) -> Vec<Finding> {
+        self.findings.sort_by(|(a, x), (b, y)| a.cmp(b).then_with(|| x.code.cmp(y.code)));
+        self.findings.into_iter().map(|(_, f)| f).collect()
+    }
+
+    fn place(&self, offset: usize) -> Place {
+        let mut end = offset.min(self.text.len());
+        while !self.text.is_char_boundary(end) {
+            end -= 1;
+        }
+        let before = &self.text[..end];
+        let start = before.rfind('\n').map_or(0, |i| i + 1);
+        Place {
+            source: self.source.to_owned(),
+            line: before.bytes().filter(|b| *b == b'\n').count() + 1,
+            column: before[start..].chars().count() + 1,
+        }
+    }
+}
+
+/// The candidate that is closest to `word`, if one is close enough to be a typing error.
+pub fn closest<'c>(word: &str, candidates: impl IntoIterator<Item = &'c str>) -> Option<&'c str> {
+    let most = (word.chars().count() / 3).max(1);
+    candidates
+        .into_iter()
+        .map(|c| (distance(word, c), c))
+        .filter(|(d, _)| *d <= most)
+        .min()
+        .map(|(_, c)| c)
+}
+
+/// Levenshtein distance in characters.
+fn distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, y) in b.iter().enumerate() {
+            let replace = diagonal + usize::from(x != *y);
+            diagonal = row[j + 1];
+            row[j + 1] = replace.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,98 @@
+//! Callers' keys: generation and digests. The service stores digests only.
+
+use std::fmt;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use rand::CryptoRng;
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::config::Digest;
+
+/// Start of every generated key; lets checks recognise a key in clear text.
+pub const PREFIX: &str = "sf_";
+
+/// Random bytes of a key. 256 bits cannot be guessed, so the digest needs no salt.
+const KEY_BYTES: usize = 32;
+
+/// A key in memory. `Debug` and `Display` never show it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a key.
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// The key itself, for use on the wire only.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// SHA-256 of the key.
+    pub fn digest(&self) -> Digest {
+        digest(&self.0)
+    }
+
+    /// Whether the key is empty.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("[key]")
+    }
+}
+
+impl fmt::Display for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("[key]")
+    }
+}
+
+/// Generates a key and the hexadecimal digest that enters the document.
+pub fn generate(rng: &mut impl CryptoRng) -> (String, String) {
+    let mut bytes = [0; KEY_BYTES];
+    rng.fill_bytes(&mut bytes);
+    let key = format!("{PREFIX}{}", URL_SAFE_NO_PAD.encode(bytes));
+    let digest = hex::encode(digest(&key));
+    (key, digest)
+}
+
+/// SHA-256 of a key.
+///
+/// ```
+/// use sycamorefork::keys;
+/// assert!(keys::is_digest(&hex::encode(keys::digest("demo-key"))));
+/// ```
+pub fn digest(key: &str) -> Digest {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+/// Whether a presented credential has this digest, in constant time.
+pub fn matches(presented: &str, expected: &Digest) -> bool {
+    digest(presented).ct_eq(expected).into()
+}
+
+/// Whether the text has the form of a digest: 64 lower-case hexadecimal digits.
+pub fn is_digest(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+}
+
+/// Parses 64 lower-case hexadecimal digits.
+pub fn parse_digest(text: &str) -> Option<Digest> {
+    let mut digest = Digest::default();
+    let valid = is_digest(text) && hex::decode_to_slice(text, &mut digest).is_ok();
+    valid.then_some(digest)
+}
+
+/// Whether the text has the form of a generated key.
+pub fn looks_like_key(text: &str) -> bool {
+    text.strip_prefix(PREFIX).is_some_and(|rest| {
+        rest.len() >= 16 && rest.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_".contains(&b))
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,15 @@
 //! I/O that take the time, inputs and random numbers as arguments; the shell
 //! around them carries inputs and outputs.
 
+pub mod check;
+pub mod config;
 pub mod error;
+pub mod fields;
+pub mod finding;
 pub mod ids;
+pub mod keys;
 pub mod platform;
+mod rules;
 pub mod time;
 
 pub use crate::error::{Category, Error, Place, Result};
