--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,11 @@
 pub mod denial;
 pub mod attempt;
 mod bucket;
+pub mod check;
+pub mod config;
 pub mod error;
+pub mod fields;
+pub mod finding;
 pub mod ids;
 pub mod loads;
 pub mod place;
@@ -17,6 +21,9 @@
 pub mod queue;
 pub mod sched;
 pub mod slots;
+pub mod keys;
+pub mod platform;
+mod rules;
 pub mod time;
 
 #[doc(hidden)]
