Add the platform and endpoint adapters

The in-memory platform has switchable faults. The protocol adapters cover the DynamoDB, S3 and machine list interfaces; engine and service cover the endpoints.

The HTTP client pools connections itself, because only hyper's connection interface returns a request that was never written; a call that must not run twice needs this to tell 'not sent' from 'may have been received'.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,18 @@
 //! I/O that take the time, inputs and random numbers as arguments; the shell
 //! around them carries inputs and outputs.
 
+pub mod dynamo;
+pub mod engine;
 pub mod error;
+pub mod frames;
+pub mod http;
 pub mod ids;
+pub mod memory;
 pub mod platform;
+pub mod s3;
+pub mod service;
+pub mod sse;
 pub mod time;
+pub mod vmlist;
 
 pub use crate::error::{Category, Error, Place, Result};
