--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,19 @@
 pub mod keys;
 pub mod platform;
 mod rules;
+pub mod dynamo;
+pub mod engine;
+pub mod error;
+pub mod frames;
+pub mod http;
+pub mod ids;
+pub mod memory;
+pub mod platform;
+pub mod s3;
+pub mod service;
+pub mod sse;
 pub mod time;
+pub mod vmlist;
 
 #[doc(hidden)]
 pub mod generated;
