--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,41 +4,36 @@
 //! I/O that take the time, inputs and random numbers as arguments; the shell
 //! around them carries inputs and outputs.
 
-pub mod denial;
 pub mod attempt;
 mod bucket;
 pub mod check;
 pub mod config;
+pub mod denial;
+pub mod dynamo;
+pub mod engine;
 pub mod error;
-pub mod fields;
+mod fields;
 pub mod finding;
+pub mod frames;
+#[doc(hidden)]
+pub mod generated;
+pub mod http;
 pub mod ids;
+pub mod keys;
 pub mod loads;
+pub mod memory;
 pub mod place;
 pub mod platform;
-pub mod quota;
 pub mod quarantine;
 pub mod queue;
-pub mod sched;
-pub mod slots;
-pub mod keys;
-pub mod platform;
+pub mod quota;
 mod rules;
-pub mod dynamo;
-pub mod engine;
-pub mod error;
-pub mod frames;
-pub mod http;
-pub mod ids;
-pub mod memory;
-pub mod platform;
 pub mod s3;
+pub mod sched;
 pub mod service;
-pub mod sse;
+pub mod slots;
+mod sse;
 pub mod time;
 pub mod vmlist;
 
-#[doc(hidden)]
-pub mod generated;
-
 pub use crate::error::{Category, Error, Place, Result};
