Add node leases, promises, takeover and ownership

The lease is one row per incarnation. Authority over resources without fence checks ends at the first gap between renewals and promises, and only a renewal that commits restores it. A claimant evicts a node by marking its row under the version that it has observed, so that a renewal and an eviction exclude each other; claims check the former owner's row for the same reason. The row names the peers whose promise the holder needs, which lets a silent holder be replaced after TTL plus margin by any of them, while a node that the row does not name waits until promises can no longer extend the lease.

Tests drive several nodes around a fake table on simulated time.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,16 @@
 //! I/O that take the time, inputs and random numbers as arguments; the shell
 //! around them carries inputs and outputs.
 
+mod assign;
+pub mod authority;
 pub mod error;
 pub mod ids;
+pub mod lease;
+pub mod owner;
 pub mod platform;
+pub mod promise;
+mod scan;
+pub mod takeover;
 pub mod time;
 
 pub use crate::error::{Category, Error, Place, Result};
--- /dev/null
+++ b/tests/authority.rs
@@ -0,0 +1,147 @@
+//! Lease, promises, takeover and ownership against a fake table.
+
+mod common;
+
+use common::{Cell, Claim, endpoint};
+use sycamorefork::lease::Level;
+use sycamorefork::owner::{Order, Resource};
+
+fn resources() -> Vec<Resource> {
+    let seat = |index| Resource::Seat { team: "t".into(), index };
+    vec![
+        endpoint("fenced", true),
+        endpoint("fenced2", true),
+        endpoint("plain", false),
+        endpoint("plain2", false),
+        seat(0),
+        seat(1),
+    ]
+}
+
+fn settled(seed: u64, nodes: usize) -> Cell {
+    let mut cell = Cell::new(seed, nodes, resources());
+    cell.run(30_000);
+    for r in resources() {
+        assert_eq!(cell.owners(&r).len(), 1, "{r:?}");
+    }
+    cell
+}
+
+/// Guards against late takeover of a killed process or host, and of its seats.
+#[test]
+fn killed_node_is_replaced_within_five_seconds() {
+    for (seed, host_down) in [(1, false), (2, true)] {
+        for r in resources() {
+            let mut cell = settled(seed, 4);
+            let old = cell.owner(&r).unwrap();
+            cell.members[old].killed = true;
+            cell.members[old].host_down = host_down;
+            let serves = |c: &Cell| {
+                (0..4).any(|i| i != old && c.members[i].auth.owned().any(|(o, _)| *o == r))
+            };
+            let took = cell.until(5_000, serves);
+            println!("{r:?}, host down {host_down}: claimed after {took} ms");
+        }
+    }
+}
+
+/// Guards against two winners of one claim, and against a loser that stays blocked.
+#[test]
+fn racing_claims_have_one_winner() {
+    let mut cell = Cell::new(3, 4, resources());
+    // Cut off from each other, all see themselves as the best claimant.
+    (0..4).for_each(|a| (0..a).for_each(|b| cell.cut(a, b, true)));
+    cell.run(6_000);
+    for r in resources() {
+        let owners = (0..4).filter(|i| cell.members[*i].auth.owned().any(|(o, _)| *o == r));
+        assert_eq!(owners.count(), 1, "{r:?}");
+    }
+}
+
+/// Guards against a claim with a lost answer that is owned twice, or by nobody.
+#[test]
+fn lost_claim_answers_are_read_back() {
+    for fault in [Claim::LostBefore, Claim::LostAfter] {
+        let mut cell = Cell::new(4, 1, resources());
+        cell.members[0].fault = Some(fault);
+        cell.until(5_000, |c| c.members[0].auth.owned().count() == resources().len());
+        let fences: Vec<_> = cell.members[0].auth.owned().map(|(_, f)| f).collect();
+        assert_eq!(fences, vec![1; resources().len()], "{fault:?}: one claim per resource");
+    }
+}
+
+/// Guards against orders of a holder that was paused beyond its lease.
+#[test]
+fn paused_holder_sends_nothing() {
+    for r in [endpoint("plain", false), endpoint("fenced", true)] {
+        let mut cell = settled(5, 3);
+        let old = cell.owner(&r).unwrap();
+        cell.members[old].paused = cell.now + 9_000;
+        cell.until(8_000, |c| c.owner(&r).is_some_and(|i| i != old));
+        cell.now = cell.members[old].paused;
+        let now = cell.clock(old);
+        let auth = &cell.members[old].auth;
+        assert!(auth.owned().any(|(o, _)| *o == r), "it still believes that it owns");
+        for order in [Order::Infer, Order::Load, Order::Evict, Order::NonIdempotent] {
+            assert!(auth.check_order(now, &r, order).is_err(), "{r:?} {order:?}");
+        }
+        assert!(!auth.admits(now));
+        cell.run(3_000);
+        assert!(cell.members[old].auth.owned().all(|(o, _)| *o != r), "it learns of the loss");
+    }
+}
+
+/// Guards against an outage that stops fenced endpoints, and against a promise
+/// that outlives the bound on endpoints without fence checks.
+#[test]
+fn long_outage_is_survived_within_bounds() {
+    let mut cell = settled(6, 4);
+    let before: Vec<_> = resources().iter().map(|r| cell.owner(r).unwrap()).collect();
+    cell.outage = true;
+    for second in 0..600 {
+        cell.run(1_000);
+        for (r, i) in resources().iter().zip(&before) {
+            let (now, auth) = (cell.clock(*i), &cell.members[*i].auth);
+            let loads = auth.check_order(now, r, Order::Load).is_ok();
+            let bounded = if second < 29 { true } else { second < 34 && loads };
+            assert_eq!(loads, r.checks_fence() || bounded, "{r:?} at {second} s");
+            if matches!(r, Resource::Endpoint { .. }) {
+                assert!(auth.check_order(now, r, Order::Infer).is_ok(), "{r:?} at {second} s");
+            }
+        }
+    }
+    cell.outage = false;
+    cell.run(10_000);
+    for (r, i) in resources().iter().zip(&before) {
+        assert_eq!(cell.owners(r), [*i], "{r:?} stays where it was");
+    }
+}
+
+/// Guards against a new node that claims behind the back of nodes that live on promises.
+#[test]
+fn new_node_waits_for_promises_of_the_others() {
+    let mut cell = settled(7, 3);
+    (0..3).for_each(|i| cell.members[i].table_cut = true);
+    let new = cell.join(false);
+    (0..3).for_each(|i| cell.cut(i, new, true));
+    // Each step asserts a single owner.
+    cell.run(20_000);
+    let plain = endpoint("plain", false);
+    assert!(cell.owner(&plain).is_some_and(|i| i != new), "promises hold within the bound");
+    assert!(cell.may(new, &endpoint("fenced", true)), "fenced endpoints need no such wait");
+    cell.until(30_000, |c| c.owner(&plain) == Some(new));
+}
+
+/// Guards against a node that is cut off and goes on, or whose share stays idle.
+#[test]
+fn partitioned_node_stops_and_is_replaced() {
+    let mut cell = settled(8, 4);
+    let old = cell.owner(&endpoint("plain", false)).unwrap();
+    cell.members[old].table_cut = true;
+    (0..4).filter(|i| *i != old).for_each(|i| cell.cut(i, old, true));
+    cell.run(9_000);
+    assert_eq!(cell.members[old].auth.level(cell.clock(old)), Level::None);
+    for r in resources() {
+        assert!(cell.owner(&r).is_some_and(|i| i != old), "{r:?}");
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,404 @@
+//! A fake table and a handful of nodes around it, on simulated time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use sycamorefork::authority::Authority;
+use sycamorefork::error::Error;
+use sycamorefork::ids::Node;
+use sycamorefork::lease::{LeaseSettings, Level};
+use sycamorefork::owner::{AuthorityOut, OpId, Order, PeerView, Resource, View};
+use sycamorefork::platform::{Commit, Cond, Op, Row, Txn};
+use sycamorefork::promise::Promise;
+use sycamorefork::takeover::ProbeResult;
+use sycamorefork::time::Ms;
+
+/// Rows with conditional transactions.
+#[derive(Default)]
+pub struct FakeTable {
+    pub rows: BTreeMap<String, Row>,
+    versions: u64,
+}
+
+impl FakeTable {
+    pub fn commit(&mut self, txn: &Txn) -> Commit {
+        for w in &txn.writes {
+            let version = self.rows.get(&w.key).map(|r| r.version);
+            let holds = match w.cond {
+                Cond::Any => true,
+                Cond::Absent => version.is_none(),
+                Cond::Version(v) => version == Some(v),
+            };
+            if !holds {
+                return Commit::Conflict(w.key.clone());
+            }
+        }
+        let write = |w: &sycamorefork::platform::Write| {
+            self.versions += 1;
+            let (version, txn) = (self.versions, txn.id.clone());
+            match w.op.clone() {
+                Op::Put(value) => {
+                    let row = Row { key: w.key.clone(), version, txn, value };
+                    self.rows.insert(w.key.clone(), row);
+                }
+                Op::Delete => drop(self.rows.remove(&w.key)),
+                Op::Check => return self.rows.get(&w.key).map_or(0, |r| r.version),
+            }
+            version
+        };
+        Commit::Done(txn.writes.iter().map(write).collect())
+    }
+
+    pub fn scan(&self, prefix: &str) -> Vec<Row> {
+        self.rows.values().filter(|r| r.key.starts_with(prefix)).cloned().collect()
+    }
+}
+
+/// What happens to the next claim of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    LostBefore,
+    LostAfter,
+}
+
+enum Event {
+    Request(AuthorityOut),
+    Committed(OpId, Result<Commit, Error>),
+    Read(OpId, Result<Vec<Row>, Error>),
+    Heartbeat(usize, u64, Level),
+    Ask(usize, Ms),
+    Promise(usize, Ms, Promise),
+    Probed(Node, ProbeResult),
+}
+
+pub struct Member {
+    pub auth: Authority,
+    pub name: Node,
+    pub view: View,
+    pub killed: bool,
+    /// Whether the VM is gone too, so that connections are not refused.
+    pub host_down: bool,
+    pub paused: u64,
+    pub table_cut: bool,
+    /// Deviation of its clock in parts per thousand.
+    rate: u64,
+    offset: u64,
+    pub listed: bool,
+    pub fault: Option<Claim>,
+}
+
+pub struct Cell {
+    pub now: u64,
+    pub table: FakeTable,
+    pub outage: bool,
+    pub members: Vec<Member>,
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub resources: Vec<Resource>,
+    /// Chance in percent that an answer of the table is lost, or its request late.
+    pub loss: u32,
+    pub rng: SmallRng,
+    pub scans: u64,
+    pub writes: u64,
+    events: BTreeMap<(u64, u64), (usize, Event)>,
+    seq: u64,
+    fences: BTreeMap<(Resource, u64), Node>,
+}
+
+pub fn endpoint(name: &str, checks_fence: bool) -> Resource {
+    Resource::Endpoint { name: name.into(), checks_fence }
+}
+
+const BOUNDED: [Order; 3] = [Order::Load, Order::Evict, Order::NonIdempotent];
+
+impl Cell {
+    pub fn new(seed: u64, nodes: usize, resources: Vec<Resource>) -> Self {
+        let mut cell = Self {
+            now: 0,
+            table: FakeTable::default(),
+            outage: false,
+            members: Vec::new(),
+            cuts: BTreeSet::new(),
+            resources,
+            loss: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            scans: 0,
+            writes: 0,
+            events: BTreeMap::new(),
+            seq: 0,
+            fences: BTreeMap::new(),
+        };
+        for _ in 0..nodes {
+            cell.join(true);
+        }
+        cell
+    }
+
+    /// Starts a new incarnation.
+    pub fn join(&mut self, listed: bool) -> usize {
+        let i = self.members.len();
+        let name = Node::new(&format!("n{i}"));
+        let auth = Authority::new(name.clone(), LeaseSettings::default(), self.rng.random());
+        let view = View { nodes: Vec::new(), resources: self.resources.clone() };
+        self.members.push(Member {
+            auth,
+            name,
+            view,
+            killed: false,
+            host_down: false,
+            paused: 0,
+            table_cut: false,
+            rate: self.rng.random_range(995..=1005),
+            offset: self.rng.random_range(0..100_000),
+            listed,
+            fault: None,
+        });
+        i
+    }
+
+    pub fn clock(&self, i: usize) -> Ms {
+        let m = &self.members[i];
+        Ms(m.offset + self.now * m.rate / 1000)
+    }
+
+    pub fn cut(&mut self, a: usize, b: usize, cut: bool) {
+        for pair in [(a, b), (b, a)] {
+            if cut {
+                self.cuts.insert(pair)
+            } else {
+                self.cuts.remove(&pair)
+            };
+        }
+    }
+
+    /// Whether the node passes the check of an order that needs sole ownership.
+    pub fn may(&self, i: usize, resource: &Resource) -> bool {
+        let m = &self.members[i];
+        let check = |o: &Order| m.auth.check_order(self.clock(i), resource, *o).is_ok();
+        !m.killed && self.now >= m.paused && BOUNDED.iter().any(check)
+    }
+
+    /// Nodes that pass the check for the resource.
+    pub fn owners(&self, resource: &Resource) -> Vec<usize> {
+        (0..self.members.len()).filter(|i| self.may(*i, resource)).collect()
+    }
+
+    pub fn owner(&self, resource: &Resource) -> Option<usize> {
+        self.owners(resource).first().copied()
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds and returns how long that took.
+    pub fn until(&mut self, limit: u64, done: impl Fn(&Self) -> bool) -> u64 {
+        let start = self.now;
+        while !done(self) {
+            assert!(self.now - start < limit, "not within {limit} ms");
+            self.step();
+        }
+        self.now - start
+    }
+
+    /// Advances by 10 ms and asserts the invariants.
+    pub fn step(&mut self) {
+        self.now += 10;
+        self.assert_single();
+        if self.now.is_multiple_of(500) {
+            self.beat();
+        }
+        while let Some(entry) = self.events.first_entry() {
+            let (at, _) = *entry.key();
+            if at > self.now {
+                break;
+            }
+            let (i, event) = entry.remove();
+            self.handle(i, event);
+            self.assert_single();
+        }
+        for i in 0..self.members.len() {
+            if (self.now / 10 + i as u64).is_multiple_of(5) {
+                self.tick(i);
+            }
+        }
+        self.assert_single();
+    }
+
+    fn assert_single(&self) {
+        for r in self.resources.iter().filter(|r| !r.checks_fence()) {
+            let owners = self.owners(r);
+            assert!(owners.len() < 2, "{r:?} has owners {owners:?} at {}", self.now);
+        }
+    }
+
+    fn tick(&mut self, i: usize) {
+        let now = self.clock(i);
+        let mut out = Vec::new();
+        let m = &mut self.members[i];
+        if m.killed || self.now < m.paused {
+            return;
+        }
+        m.auth.tick(now, &m.view, &mut out);
+        for o in out {
+            if let AuthorityOut::Gained { resource, fence, .. } = &o {
+                let name = self.members[i].name.clone();
+                let first = self.fences.entry((resource.clone(), *fence)).or_insert(name.clone());
+                assert_eq!(*first, name, "fence {fence} of {resource:?} has two owners");
+            }
+            self.perform(i, o);
+        }
+    }
+
+    fn perform(&mut self, i: usize, out: AuthorityOut) {
+        let delay = self.rng.random_range(1..10);
+        match out {
+            AuthorityOut::Commit { .. } | AuthorityOut::Scan { .. } | AuthorityOut::Get { .. } => {
+                let late = self.rng.random_range(0..100) < self.loss;
+                let extra = if late { self.rng.random_range(0..5000) } else { 0 };
+                self.send(i, delay + extra, Event::Request(out));
+            }
+            AuthorityOut::AskPromise { to } => {
+                let at = self.clock(i);
+                self.send_peer(i, &to, Event::Ask(i, at));
+            }
+            AuthorityOut::Probe { node } => {
+                let j = self.find(&node);
+                let cut = self.cuts.contains(&(i, j)) || self.now < self.members[j].paused;
+                let m = &self.members[j];
+                let (wait, result) = match (m.killed, m.host_down || cut) {
+                    (_, true) => (500, ProbeResult::Silent),
+                    (true, false) => (delay, ProbeResult::Refused),
+                    _ => (delay, ProbeResult::Reached { level: m.auth.level(self.clock(j)) }),
+                };
+                self.send(i, wait, Event::Probed(node, result));
+            }
+            AuthorityOut::Gained { .. } | AuthorityOut::Lost { .. } => {}
+        }
+    }
+
+    fn find(&self, name: &Node) -> usize {
+        self.members.iter().position(|m| m.name == *name).expect("a member")
+    }
+
+    fn send(&mut self, to: usize, delay: u64, event: Event) {
+        self.seq += 1;
+        self.events.insert((self.now + delay, self.seq), (to, event));
+    }
+
+    fn send_peer(&mut self, from: usize, to: &Node, event: Event) {
+        let to = self.find(to);
+        let delay = self.rng.random_range(1..10);
+        if !self.cuts.contains(&(from, to)) {
+            self.send(to, delay, event);
+        }
+    }
+
+    fn handle(&mut self, i: usize, event: Event) {
+        if let Event::Request(out) = event {
+            return self.serve(i, out);
+        }
+        if self.members[i].killed {
+            return;
+        }
+        if self.now < self.members[i].paused {
+            let wait = self.members[i].paused - self.now;
+            return self.send(i, wait, event);
+        }
+        let now = self.clock(i);
+        let auth = &mut self.members[i].auth;
+        match event {
+            Event::Request(_) => {}
+            Event::Committed(op, result) => auth.on_commit(now, op, result),
+            Event::Read(op, result) => auth.on_rows(now, op, result),
+            Event::Promise(from, sent, p) => {
+                let from = self.members[from].name.clone();
+                self.members[i].auth.on_promise(now, &from, sent, p.valid, p.given);
+            }
+            Event::Ask(from, sent) => {
+                let name = self.members[from].name.clone();
+                let promise = self.members[i].auth.on_promise_request(now, &name);
+                self.send_peer(i, &name, Event::Promise(i, sent, promise));
+            }
+            Event::Probed(node, result) => auth.on_probe(now, &node, result),
+            Event::Heartbeat(from, counter, level) => {
+                let node = self.members[from].name.clone();
+                let listed = self.members[from].listed;
+                let nodes = &mut self.members[i].view.nodes;
+                nodes.retain(|p| p.node != node);
+                let heartbeat = Some(now);
+                nodes.push(PeerView { node, listed, leaving: false, heartbeat, counter, level });
+            }
+        }
+        self.tick(i);
+    }
+
+    fn serve(&mut self, i: usize, out: AuthorityOut) {
+        let down = self.outage || self.members[i].table_cut;
+        let error = || Error::io("table", "no answer");
+        let lost = self.rng.random_range(0..100) < self.loss;
+        let event = match out {
+            AuthorityOut::Commit { op, txn } => {
+                self.writes += 1;
+                let claim = txn.writes.iter().any(|w| !w.key.contains("/node/"));
+                let fault = if claim { self.members[i].fault.take() } else { None };
+                if down || fault == Some(Claim::LostBefore) {
+                    Event::Committed(op, Err(error()))
+                } else {
+                    let result = self.table.commit(&txn);
+                    let lost = lost || fault == Some(Claim::LostAfter);
+                    Event::Committed(op, if lost { Err(error()) } else { Ok(result) })
+                }
+            }
+            AuthorityOut::Scan { op, prefix } => {
+                self.scans += 1;
+                let rows = self.table.scan(&prefix);
+                Event::Read(op, if down || lost { Err(error()) } else { Ok(rows) })
+            }
+            AuthorityOut::Get { op, key } => {
+                let row = self.table.rows.get(&key).cloned();
+                let rows = row.into_iter().collect();
+                Event::Read(op, if down || lost { Err(error()) } else { Ok(rows) })
+            }
+            _ => return,
+        };
+        let delay = self.rng.random_range(1..10) + if lost { 1500 } else { 0 };
+        self.send(i, delay, event);
+    }
+
+    /// Sends heartbeats and brings the VM list up to date in every view.
+    fn beat(&mut self) {
+        for i in 0..self.members.len() {
+            for j in (0..self.members.len()).filter(|j| *j != i) {
+                let (node, listed) = (self.members[j].name.clone(), self.members[j].listed);
+                let nodes = &mut self.members[i].view.nodes;
+                match nodes.iter_mut().find(|p| p.node == node) {
+                    Some(peer) => peer.listed = listed,
+                    None if listed => nodes.push(PeerView {
+                        node,
+                        listed,
+                        leaving: false,
+                        heartbeat: None,
+                        counter: 0,
+                        level: Level::None,
+                    }),
+                    None => {}
+                }
+            }
+            let m = &self.members[i];
+            if m.killed || self.now < m.paused {
+                continue;
+            }
+            let (counter, level) = (m.auth.counter(), m.auth.level(self.clock(i)));
+            let names: Vec<_> = self.members.iter().map(|m| m.name.clone()).collect();
+            for (j, to) in names.iter().enumerate().filter(|(j, _)| *j != i) {
+                if !self.members[j].killed {
+                    self.send_peer(i, to, Event::Heartbeat(i, counter, level));
+                }
+            }
+        }
+    }
+}
