--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,14 @@
 
 pub mod attempt;
 mod bucket;
+pub mod claim;
+mod claimentry;
+mod claimio;
+mod claimread;
+mod claimrow;
 pub mod error;
 pub mod ids;
+mod loan;
 pub mod platform;
 pub mod quota;
 pub mod time;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -12,58 +12,12 @@
 //! one counts as the newest. [`Quota::levels`] must run at least every
 //! [`Settings::gap`], because refill is dropped over longer silences.
 
-use std::collections::BTreeMap;
-
 use crate::bucket::{Borrowed, Bucket, Lent, MICRO, Share};
 pub use crate::bucket::{RateSpec, SEATS, SHARES};
 use crate::ids::{Map, Node, Team};
+pub use crate::loan::{Level, Loan, LoanAsk, Peers, Settings};
 use crate::time::Ms;
 
-/// Times of the quota module.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Settings {
-    /// How long a loan lasts, from its ask.
-    pub term: Ms,
-    /// Fixed safety margin at either end of a loan.
-    pub margin: Ms,
-    /// Largest difference of two clocks' speeds, in thousandths.
-    pub drift: u64,
-    /// Longest time that a permit of a concurrency limit is held.
-    pub hold: Ms,
-    /// How long an ask may stay unanswered before the node decides without it.
-    pub wait: Ms,
-    /// Least time between two rounds of asks for one team.
-    pub cool: Ms,
-    /// Longest silence between calls over which buckets refill.
-    pub gap: Ms,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            term: Ms(4000),
-            margin: Ms(50),
-            drift: 5,
-            hold: Ms(1500),
-            wait: Ms(50),
-            cool: Ms(100),
-            gap: Ms(2000),
-        }
-    }
-}
-
-impl Settings {
-    fn slack(&self, term: Ms) -> Ms {
-        self.margin + Ms(term.0 * self.drift / 1000)
-    }
-
-    /// Time from the end of a former holder's authority until all loans of its
-    /// seats have ended; a new holder's `quiet_until` lies at least that late.
-    pub fn quiet_time(&self) -> Ms {
-        self.term + self.slack(self.term) + self.margin
-    }
-}
-
 /// Tokens, and a permit where the spec limits concurrency, that a request holds.
 ///
 /// Hand it back with [`Quota::settle`]; a dropped permit is never free again.
@@ -119,76 +73,6 @@
     },
 }
 
-/// Request of a node for a loan.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LoanAsk {
-    /// The team concerned.
-    pub team: Team,
-    /// Number of the ask, growing per asking node.
-    pub id: u64,
-    /// Newest loan of the receiver that the asker has received, or 0.
-    pub holds: u64,
-    /// Tokens wanted at once.
-    pub stock: u64,
-    /// Rate wanted in place of the held loan, in parts of [`SHARES`].
-    pub rate: u64,
-    /// Capacity wanted in place of the held loan, in parts of [`SHARES`].
-    pub burst: u64,
-    /// Permits wanted in place of the held loan.
-    pub permits: u64,
-}
-
-/// Loan, already debited by the lender; replaces the lender's earlier loans.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Loan {
-    /// The team concerned.
-    pub team: Team,
-    /// Number of the ask.
-    pub id: u64,
-    /// Tokens handed over.
-    pub stock: u64,
-    /// Rate handed over, in parts of [`SHARES`].
-    pub rate: u64,
-    /// Capacity handed over, in parts of [`SHARES`].
-    pub burst: u64,
-    /// Permits handed over.
-    pub permits: u64,
-    /// Duration of the loan from the sending of its ask.
-    pub term: Ms,
-}
-
-/// What a node can lend of one team; carried by heartbeats as a hint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Level {
-    /// The team concerned.
-    pub team: Team,
-    /// Tokens in stock beyond the node's own need.
-    pub stock: u64,
-    /// Rate beyond the node's own need, lent parts included.
-    pub rate: u64,
-    /// Capacity beyond the node's own need, lent parts included.
-    pub burst: u64,
-    /// Permits beyond the node's own need, lent ones included.
-    pub permits: u64,
-}
-
-/// Levels that the cell's peers reported last.
-#[derive(Clone, Debug, Default)]
-pub struct Peers(BTreeMap<Node, Map<Team, Level>>);
-
-impl Peers {
-    /// Records the levels of a peer's heartbeat.
-    pub fn set(&mut self, node: &Node, levels: &[Level]) {
-        let levels = levels.iter().map(|l| (l.team.clone(), l.clone())).collect();
-        self.0.insert(node.clone(), levels);
-    }
-
-    /// Forgets a peer that no longer answers.
-    pub fn remove(&mut self, node: &Node) {
-        self.0.remove(node);
-    }
-}
-
 /// Amounts of one team on one node, in micro-tokens and shares.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
