--- a/src/check.rs
+++ b/src/check.rs
@@ -4,7 +4,7 @@
 
 use serde_spanned::Spanned;
 
-use crate::config::{
+use crate::document::{
     AdapterDoc, Document, FamilyDoc, KeyDoc, LevelDoc, ModelDoc, PoolDoc, RouteDoc, RouteKind,
     Serves, Shared, StoreDoc, TeamDoc,
 };
--- /dev/null
+++ b/src/evidence.rs
@@ -0,0 +1,137 @@
+//! Writing refusal batches to the object store, and reading them back.
+
+use std::fmt::Write as _;
+
+use serde::Serialize;
+
+use crate::error::{Error, Result};
+use crate::platform::Objects;
+use crate::refusal::{Batch, Gap, Record, Refusal, Stored, day, instant};
+
+/// Longest period of a query, in days; each day costs one list request per node.
+const MOST_DAYS: u64 = 400;
+const DAY_MS: u64 = 86_400_000;
+
+/// Writes one batch; a lost answer is resolved by reading the object back.
+pub async fn store<O: Objects>(objects: &O, batch: &Batch) -> Stored {
+    match objects.put_new(&batch.name, batch.body.clone()).await {
+        Ok(true) => Stored::Done,
+        Ok(false) => match objects.get(&batch.name).await {
+            Ok(Some(body)) if body == batch.body => Stored::Done,
+            Ok(Some(_)) => Stored::Taken,
+            _ => Stored::Failed,
+        },
+        Err(_) => Stored::Failed,
+    }
+}
+
+/// Which refusals to read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Filter {
+    /// Only this team.
+    pub team: Option<String>,
+    /// Only this reason.
+    pub reason: Option<String>,
+    /// Only this record or request.
+    pub id: Option<String>,
+    /// Only this key identifier.
+    pub key: Option<String>,
+    /// From this time, milliseconds since the Unix epoch.
+    pub from: Option<u64>,
+    /// Until before this time.
+    pub to: Option<u64>,
+}
+
+impl Filter {
+    fn wants(&self, r: &Refusal) -> bool {
+        let same = |want: &Option<String>, have: &str| want.as_deref().is_none_or(|w| w == have);
+        same(&self.team, r.team.as_ref().map_or("", |t| t.as_str()))
+            && same(&self.key, r.key.as_ref().map_or("", |k| k.as_str()))
+            && same(&self.reason, &r.reason)
+            && self.id.as_deref().is_none_or(|id| id == r.id || id == r.request)
+            && self.from.is_none_or(|t| r.at >= t)
+            && self.to.is_none_or(|t| r.at < t)
+    }
+
+    fn overlaps(&self, g: &Gap) -> bool {
+        self.from.is_none_or(|t| g.to >= t) && self.to.is_none_or(|t| g.from < t)
+    }
+
+    /// Prefixes of the objects that can hold matching records.
+    fn prefixes(&self) -> Result<Vec<String>> {
+        if let Some((day, rest)) = self.id.as_deref().and_then(|id| id.split_once('.'))
+            && let Some((node, _)) = rest.rsplit_once('.')
+        {
+            return Ok(vec![format!("refusals/{day}/{node}/")]);
+        }
+        let (Some(from), Some(to)) = (self.from, self.to) else {
+            return Ok(vec!["refusals/".to_owned()]);
+        };
+        let (first, last) = (from / DAY_MS, to.max(1).saturating_sub(1) / DAY_MS);
+        if last.saturating_sub(first) > MOST_DAYS {
+            return Err(Error::input("time", format!("at most {MOST_DAYS} days can be read")));
+        }
+        Ok((first..=last).map(|d| format!("refusals/{}/", day(d * DAY_MS))).collect())
+    }
+}
+
+/// Result of a query.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Found {
+    /// Matching refusals by time and id.
+    pub refusals: Vec<Refusal>,
+    /// Gaps in the period; matching refusals may be among the lost ones.
+    pub gaps: Vec<Gap>,
+    /// Lines that could not be read.
+    pub unreadable: u64,
+}
+
+/// Reads the refusals that match a filter.
+///
+/// # Errors
+/// Fails when the object store does not answer, or the period is too long.
+pub async fn query<O: Objects>(objects: &O, filter: &Filter) -> Result<Found> {
+    let mut found = Found::default();
+    for prefix in filter.prefixes()? {
+        for name in objects.list(&prefix).await? {
+            let Some(body) = objects.get(&name).await? else { continue };
+            for line in body.split(|b| *b == b'\n').filter(|l| !l.is_empty()) {
+                match serde_json::from_slice(line) {
+                    Ok(Record::Refusal(r)) if filter.wants(&r) => found.refusals.push(r),
+                    Ok(Record::Gap(g)) if filter.overlaps(&g) => found.gaps.push(g),
+                    Ok(_) => {}
+                    Err(_) => found.unreadable += 1,
+                }
+            }
+        }
+    }
+    found.refusals.sort_by(|a, b| (a.at, &a.id).cmp(&(b.at, &b.id)));
+    found.gaps.sort_by_key(|g| (g.from, g.first));
+    Ok(found)
+}
+
+impl Found {
+    /// The result as text, one line per refusal.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        for r in &self.refusals {
+            let team = r.team.as_ref().map_or("-", |t| t.as_str());
+            let key = r.key.as_ref().map_or("-", |k| k.as_str());
+            let (at, ran) = (instant(r.at), r.ran.as_str());
+            let _ = write!(out, "{at} {} team={team} key={key} target={}", r.id, r.target);
+            let _ = write!(out, " reason={} ran={ran} request={}", r.reason, r.request);
+            for (name, value) in &r.facts {
+                let _ = write!(out, " {name}={value}");
+            }
+            out.push('\n');
+        }
+        for g in &self.gaps {
+            let (from, to) = (instant(g.from), instant(g.to));
+            let _ = writeln!(out, "{from} to {to}: {} records lost {:?}", g.lost, g.reasons);
+        }
+        if self.unreadable > 0 {
+            let _ = writeln!(out, "{} lines could not be read", self.unreadable);
+        }
+        out
+    }
+}
--- /dev/null
+++ b/src/operate.rs
@@ -0,0 +1,294 @@
+//! Operators' changes of the configuration: apply, promote and their history.
+//!
+//! A document is stored as an immutable object named by its digest. The head row
+//! names the digest in force; it changes by conditional write and its serial only
+//! grows. The same transaction writes a history row per serial, which also settles
+//! whether a write took effect whose answer was lost.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::check::check;
+use crate::diff::{Change, diff};
+use crate::error::{Error, Result};
+use crate::finding::Finding;
+use crate::keys::is_digest;
+use crate::platform::{Commit, Cond, Objects, Op, Row, Table, Txn, Write};
+use crate::time::Ms;
+
+/// Key of the head row.
+pub const HEAD: &str = "config/head";
+/// Start of the keys of history rows.
+pub const HISTORY: &str = "config/history/";
+/// History rows that are kept. One scan reads them all; 7,200 changes a day would
+/// otherwise let the table grow without bound. The objects are never deleted.
+pub const HISTORY_KEPT: u64 = 1000;
+/// Attempts of a write whose answer is lost; each is the same transaction.
+const ATTEMPTS: u32 = 4;
+
+/// The configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Grows by one with each change.
+    pub serial: u64,
+    /// Hexadecimal SHA-256 of the document.
+    pub digest: String,
+    /// Operator who made the change.
+    pub by: String,
+    /// Milliseconds since the Unix epoch.
+    pub at: Ms,
+}
+
+/// Who makes a change, when, and its unique write id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stamp {
+    /// Operator.
+    pub by: String,
+    /// Milliseconds since the Unix epoch.
+    pub at: Ms,
+    /// Unique over all operators; settles lost answers.
+    pub txn: String,
+}
+
+/// Result of a change.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "result", rename_all = "lowercase")]
+pub enum Applied {
+    /// The change is accepted.
+    Accepted {
+        /// The new head.
+        head: Head,
+        /// Warnings of the check.
+        findings: Vec<Finding>,
+        /// What changed since the previous document.
+        changes: Vec<Change>,
+    },
+    /// The same document is already in force; nothing was written.
+    Unchanged {
+        /// The present head.
+        head: Head,
+    },
+    /// The check found errors; nothing was written.
+    Refused {
+        /// All findings.
+        findings: Vec<Finding>,
+    },
+    /// Another operator's change came first; nothing was written.
+    Lost {
+        /// The other's head; none if the environment has no configuration.
+        head: Option<Head>,
+        /// What this document would change in the other's.
+        changes: Vec<Change>,
+    },
+}
+
+/// Name of the object that holds a document.
+pub fn object_name(digest: &str) -> String {
+    format!("config/{digest}")
+}
+
+/// Hexadecimal SHA-256 of a document's bytes.
+pub fn digest_of(bytes: &[u8]) -> String {
+    hex::encode(Sha256::digest(bytes))
+}
+
+fn history_key(serial: u64) -> String {
+    format!("{HISTORY}{serial:020}")
+}
+
+fn parse_head(row: &Row) -> Result<Head> {
+    let head: Head = serde_json::from_slice(&row.value)
+        .map_err(|e| Error::platform(&row.key, format_args!("unreadable row: {e}")))?;
+    if !is_digest(&head.digest) {
+        return Err(Error::platform(&row.key, "the row holds no digest"));
+    }
+    Ok(head)
+}
+
+/// Reads the head row and its version.
+///
+/// # Errors
+/// Fails when the table service does not answer or the row is unreadable.
+pub async fn read_head<T: Table>(table: &T) -> Result<Option<(Head, u64)>> {
+    let row = table.get(HEAD).await?;
+    row.map(|r| Ok((parse_head(&r)?, r.version))).transpose()
+}
+
+/// Reads a document and verifies its digest.
+///
+/// # Errors
+/// Fails when the object store does not answer, the object is absent or its bytes
+/// do not have this digest.
+pub async fn read_config<O: Objects>(objects: &O, digest: &str) -> Result<Bytes> {
+    if !is_digest(digest) {
+        return Err(Error::input("digest", "not 64 lower-case hexadecimal digits"));
+    }
+    let name = object_name(digest);
+    let bytes = objects.get(&name).await?;
+    let bytes = bytes.ok_or_else(|| Error::platform(&name, "the object does not exist"))?;
+    if digest_of(&bytes) != digest {
+        return Err(Error::platform(&name, "the object's bytes do not have this digest"));
+    }
+    Ok(bytes)
+}
+
+/// Accepted changes, newest first, as far as they are kept.
+///
+/// # Errors
+/// Fails when the table service does not answer or a row is unreadable.
+pub async fn history<T: Table>(table: &T) -> Result<Vec<Head>> {
+    let rows = table.scan(HISTORY).await?;
+    let mut heads: Vec<Head> = rows.iter().map(parse_head).collect::<Result<_>>()?;
+    heads.sort_by_key(|h| std::cmp::Reverse(h.serial));
+    Ok(heads)
+}
+
+/// Checks a document and brings it into force.
+///
+/// With `expected`, the change is made only on top of that serial; 0 stands for an
+/// environment without configuration.
+///
+/// # Errors
+/// Fails when a service does not answer. If the outcome of the last write is
+/// unknown, the message says so.
+pub async fn apply<T: Table, O: Objects>(
+    table: &T,
+    objects: &O,
+    source: &str,
+    text: &str,
+    expected: Option<u64>,
+    stamp: &Stamp,
+) -> Result<Applied> {
+    let checked = check(source, text);
+    if !checked.accepted() {
+        return Ok(Applied::Refused { findings: checked.findings });
+    }
+    let current = read_head(table).await?;
+    let serial = current.as_ref().map_or(0, |(h, _)| h.serial);
+    let digest = digest_of(text.as_bytes());
+    if expected.is_some_and(|e| e != serial) {
+        return lost(objects, current.map(|(h, _)| h), text).await;
+    }
+    if let Some((head, _)) = current.as_ref().filter(|(h, _)| h.digest == digest) {
+        return Ok(Applied::Unchanged { head: head.clone() });
+    }
+    put_object(objects, &digest, text).await?;
+    let next = Head { serial: serial + 1, digest, by: stamp.by.clone(), at: stamp.at };
+    let cond = current.as_ref().map_or(Cond::Absent, |(_, version)| Cond::Version(*version));
+    if move_head(table, &next, cond, &stamp.txn).await? {
+        let changes = changes(objects, current.map(|(h, _)| h), text).await;
+        return Ok(Applied::Accepted { head: next, findings: checked.findings, changes });
+    }
+    let other = read_head(table).await?.map(|(h, _)| h);
+    lost(objects, other, text).await
+}
+
+/// Copies a document that was accepted in trial to production, byte for byte.
+///
+/// Without `digest`, the document that is in force in trial is promoted.
+///
+/// # Errors
+/// Fails when a service does not answer, when trial never accepted the digest, or
+/// when the copied bytes do not have it.
+pub async fn promote<T: Table, O: Objects, U: Table, P: Objects>(
+    trial: (&T, &O),
+    production: (&U, &P),
+    digest: Option<&str>,
+    expected: Option<u64>,
+    stamp: &Stamp,
+) -> Result<Applied> {
+    let proved = history(trial.0).await?;
+    let digest = match digest {
+        Some(digest) => digest.to_owned(),
+        None => {
+            let head = read_head(trial.0).await?;
+            head.ok_or_else(|| Error::state(HEAD, "trial has no configuration"))?.0.digest
+        }
+    };
+    if !proved.iter().any(|h| h.digest == digest) {
+        let reason = format!("trial did not accept {digest} in its last {HISTORY_KEPT} changes");
+        return Err(Error::state(HISTORY, reason));
+    }
+    let bytes = read_config(trial.1, &digest).await?;
+    let text = std::str::from_utf8(&bytes).map_err(|e| Error::input(&object_name(&digest), e))?;
+    // The digest in production is computed from the bytes again by `apply`.
+    let source = object_name(&digest);
+    apply(production.0, production.1, &source, text, expected, stamp).await
+}
+
+/// Stores the object; a lost answer is settled by reading it back.
+async fn put_object<O: Objects>(objects: &O, digest: &str, text: &str) -> Result<()> {
+    let name = object_name(digest);
+    let mut last = Error::io(&name, "not stored");
+    for _ in 0..ATTEMPTS {
+        match objects.put_new(&name, Bytes::copy_from_slice(text.as_bytes())).await {
+            Ok(true) => return Ok(()),
+            Ok(false) => return read_config(objects, digest).await.map(|_| ()),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
+/// Moves the head; `false` means that another change came first.
+async fn move_head<T: Table>(table: &T, next: &Head, cond: Cond, txn: &str) -> Result<bool> {
+    let value = Bytes::from(serde_json::to_vec(next).expect("head is plain data"));
+    let mut writes = vec![
+        Write::put(HEAD, cond, value.clone()),
+        Write::put(history_key(next.serial), Cond::Absent, value),
+    ];
+    if let Some(old) = next.serial.checked_sub(HISTORY_KEPT).filter(|s| *s > 0) {
+        writes.push(Write { key: history_key(old), cond: Cond::Any, op: Op::Delete });
+    }
+    let txn = Txn { id: txn.to_owned(), writes };
+    let mut last = Error::io(HEAD, "no answer");
+    let mut unknown = false;
+    for _ in 0..ATTEMPTS {
+        match table.commit(&txn).await {
+            Ok(Commit::Done(_)) => return Ok(true),
+            // The condition of a first attempt fails only because of another's write.
+            Ok(Commit::Conflict(_)) if !unknown => return Ok(false),
+            Ok(Commit::Conflict(_)) => match written(table, next, &txn.id).await {
+                Ok(ours) => return Ok(ours),
+                Err(e) => last = e,
+            },
+            Err(e) => {
+                // An unanswered write may still take effect, so only "ours" is final.
+                unknown = true;
+                last = e;
+                if let Ok(true) = written(table, next, &txn.id).await {
+                    return Ok(true);
+                }
+            }
+        }
+    }
+    let reason = format!(
+        "it is unknown whether serial {} was accepted ({last}); read the head before trying again",
+        next.serial
+    );
+    Err(Error::io(HEAD, reason))
+}
+
+/// Whether this transaction wrote the history row of its serial.
+async fn written<T: Table>(table: &T, next: &Head, txn: &str) -> Result<bool> {
+    let row = table.get(&history_key(next.serial)).await?;
+    Ok(row.is_some_and(|r| r.txn == txn))
+}
+
+async fn lost<O: Objects>(objects: &O, head: Option<Head>, text: &str) -> Result<Applied> {
+    let changes = changes(objects, head.clone(), text).await;
+    Ok(Applied::Lost { head, changes })
+}
+
+/// What `text` changes in the document of `head`. The difference is information for
+/// the operator only, so an unreadable document counts as an empty one.
+async fn changes<O: Objects>(objects: &O, head: Option<Head>, text: &str) -> Vec<Change> {
+    let old = match head {
+        Some(head) => read_config(objects, &head.digest).await.unwrap_or_default(),
+        None => Bytes::new(),
+    };
+    let old = check("previous", &String::from_utf8_lossy(&old)).document.unwrap_or_default();
+    let new = check("new", text).document.unwrap_or_default();
+    diff(&old, &new)
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::config::{At, Document, FamilyDoc, RouteDoc, RouteKind, Serves, Shared, family_name};
+use crate::config::family_name;
+use crate::document::{At, Document, FamilyDoc, RouteDoc, RouteKind, Serves, Shared};
 use crate::finding::{Report, closest};
 use crate::time::Ms;
 
