Add the sample engine and the sample service

Both run in one process with the demo or behind the stand-in binary. They record headers and executions, so that tests can show that no caller's key reached them and that no call ran twice, and they take faults at run time. Connection faults sit in the listener, because a crash must reset connections and refuse new ones.

--- /dev/null
+++ b/src/faulty.rs
@@ -0,0 +1,290 @@
+//! TCP listener of the sample endpoints and stand-ins, with connection faults.
+//!
+//! [`Wire`] cuts or silences open connections, drops some new ones, and closes
+//! the listener for a while, as the crash of a process does.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use poem::http::uri::Scheme;
+use poem::listener::Acceptor;
+use poem::web::{LocalAddr, RemoteAddr};
+use poem::{Addr, Endpoint, Server};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+
+/// Pause between attempts to listen again on the same port.
+const REBIND: Duration = Duration::from_millis(10);
+
+#[derive(Clone)]
+struct Gate {
+    cut: CancellationToken,
+    silent: Arc<AtomicBool>,
+}
+
+struct State {
+    open: BTreeMap<SocketAddr, Gate>,
+    accepted: u64,
+    nth: u64,
+}
+
+/// Control of the connections of one listener; clones share it.
+#[derive(Clone)]
+pub struct Wire {
+    state: Arc<Mutex<State>>,
+    down: watch::Sender<Option<Instant>>,
+}
+
+impl Default for Wire {
+    fn default() -> Self {
+        let state = State { open: BTreeMap::new(), accepted: 0, nth: 0 };
+        Self { state: Arc::new(Mutex::new(state)), down: watch::Sender::new(None) }
+    }
+}
+
+impl Wire {
+    /// Cuts the connection to one peer.
+    pub fn cut(&self, peer: SocketAddr) {
+        if let Some(gate) = self.state.lock().unwrap().open.get(&peer) {
+            gate.cut.cancel();
+        }
+    }
+
+    /// Cuts all open connections.
+    pub fn cut_all(&self) {
+        self.state.lock().unwrap().open.values().for_each(|gate| gate.cut.cancel());
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn silence(&self) {
+        let state = self.state.lock().unwrap();
+        state.open.values().for_each(|gate| gate.silent.store(true, Ordering::Relaxed));
+    }
+
+    /// Drops every `nth` new connection; 0 drops none.
+    pub fn drop_nth(&self, nth: u64) {
+        self.state.lock().unwrap().nth = nth;
+    }
+
+    /// Cuts all connections and refuses new ones for `time`.
+    pub fn go_down(&self, time: Duration) {
+        self.down.send_replace(Some(Instant::now() + time));
+        self.cut_all();
+    }
+
+    /// Connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.state.lock().unwrap().accepted
+    }
+
+    /// Connections that are open now.
+    pub fn open(&self) -> usize {
+        self.state.lock().unwrap().open.len()
+    }
+
+    /// Registers a new connection; `None` if it must be dropped.
+    fn admit(&self, peer: SocketAddr) -> Option<Gate> {
+        let mut state = self.state.lock().unwrap();
+        state.accepted += 1;
+        if state.nth > 0 && state.accepted.is_multiple_of(state.nth) {
+            return None;
+        }
+        let gate = Gate { cut: CancellationToken::new(), silent: Arc::default() };
+        state.open.insert(peer, gate.clone());
+        Some(gate)
+    }
+}
+
+/// Listener whose connections obey a [`Wire`].
+pub struct FaultyListener {
+    addr: SocketAddr,
+    listener: Option<TcpListener>,
+    wire: Wire,
+    down: watch::Receiver<Option<Instant>>,
+}
+
+impl FaultyListener {
+    /// Listens on an address; port 0 chooses a free one.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be bound.
+    pub async fn bind(addr: SocketAddr, wire: Wire) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let down = wire.down.subscribe();
+        Ok(Self { addr, listener: Some(listener), wire, down })
+    }
+
+    /// The address that was bound.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Acceptor for FaultyListener {
+    type Io = FaultyStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        vec![LocalAddr(Addr::SocketAddr(self.addr))]
+    }
+
+    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+        loop {
+            let down = *self.down.borrow_and_update();
+            if let Some(until) = down.filter(|until| *until > Instant::now()) {
+                self.listener = None;
+                sleep_until(until).await;
+                continue;
+            }
+            let Some(listener) = &self.listener else {
+                match TcpListener::bind(self.addr).await {
+                    Ok(listener) => self.listener = Some(listener),
+                    Err(_) => sleep(REBIND).await,
+                }
+                continue;
+            };
+            let (stream, peer) = tokio::select! {
+                biased;
+                _ = self.down.changed() => continue,
+                accepted = listener.accept() => accepted?,
+            };
+            stream.set_nodelay(true)?;
+            if let Some(gate) = self.wire.admit(peer) {
+                let stream = FaultyStream {
+                    inner: stream,
+                    cut: Box::pin(gate.cut.cancelled_owned()),
+                    silent: gate.silent,
+                    peer,
+                    wire: self.wire.clone(),
+                };
+                let local = LocalAddr(Addr::SocketAddr(self.addr));
+                let remote = RemoteAddr(Addr::SocketAddr(peer));
+                return Ok((stream, local, remote, Scheme::HTTP));
+            }
+        }
+    }
+}
+
+/// Connection that can be cut or silenced.
+pub struct FaultyStream {
+    inner: TcpStream,
+    cut: Pin<Box<WaitForCancellationFutureOwned>>,
+    silent: Arc<AtomicBool>,
+    peer: SocketAddr,
+    wire: Wire,
+}
+
+impl FaultyStream {
+    /// Whether the next operation may proceed; pending forever when silent.
+    fn gate(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.cut.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        match self.silent.load(Ordering::Relaxed) {
+            true => Poll::Pending,
+            false => Poll::Ready(Ok(())),
+        }
+    }
+}
+
+impl Drop for FaultyStream {
+    fn drop(&mut self) {
+        self.wire.state.lock().unwrap().open.remove(&self.peer);
+    }
+}
+
+impl AsyncRead for FaultyStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        std::task::ready!(self.gate(cx))?;
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        // What arrives on a connection that went silent meanwhile is not seen.
+        if read.is_ready() && self.silent.load(Ordering::Relaxed) {
+            buf.set_filled(before);
+            return Poll::Pending;
+        }
+        read
+    }
+}
+
+impl AsyncWrite for FaultyStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        std::task::ready!(self.gate(cx))?;
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.gate(cx))?;
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.gate(cx))?;
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+/// A server that runs in this process; dropping it stops it.
+pub struct Running {
+    /// Address of the listener.
+    pub addr: SocketAddr,
+    task: JoinHandle<io::Result<()>>,
+}
+
+impl Running {
+    /// Waits until the server fails.
+    ///
+    /// # Errors
+    /// Gives the reason why the server ended.
+    pub async fn wait(mut self) -> io::Result<()> {
+        (&mut self.task).await.map_err(io::Error::other)?
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves an endpoint on a listener in the background.
+pub fn run<E>(listener: FaultyListener, endpoint: E) -> Running
+where
+    E: Endpoint + 'static,
+{
+    let addr = listener.addr();
+    let wire = listener.wire.clone();
+    let task = tokio::spawn(async move {
+        // Connections run in tasks of their own and must end with the server.
+        let _cut = CutOnDrop(wire);
+        Server::new_with_acceptor(listener).run(endpoint).await
+    });
+    Running { addr, task }
+}
+
+struct CutOnDrop(Wire);
+
+impl Drop for CutOnDrop {
+    fn drop(&mut self) {
+        self.0.cut_all();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,12 +7,17 @@
 pub mod dynamo;
 pub mod engine;
 pub mod error;
+pub mod faulty;
 pub mod frames;
 pub mod http;
 pub mod ids;
 pub mod memory;
 pub mod platform;
 pub mod s3;
+pub mod sample;
+mod sample_record;
+mod sample_run;
+pub mod sample_service;
 pub mod service;
 pub mod sse;
 pub mod time;
