--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod error;
 mod fields;
 pub mod finding;
+pub mod faulty;
 pub mod frames;
 #[doc(hidden)]
 pub mod generated;
@@ -42,6 +43,10 @@
 mod rules;
 pub mod s3;
 pub mod sched;
+pub mod sample;
+mod sample_record;
+mod sample_run;
+pub mod sample_service;
 pub mod service;
 pub mod slots;
 mod sse;
