--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod loads;
 pub mod place;
 pub mod platform;
+pub mod prefix;
 pub mod quarantine;
 pub mod queue;
 pub mod sched;
--- a/src/loads.rs
+++ b/src/loads.rs
@@ -1,4 +1,4 @@
-//! Fair order of load demands by team.
+//! Load permits and the fair order of load demands by team.
 //!
 //! Loads are counted per team in virtual time, so that a team with many cold adapters does
 //! not take all load permits from a team that needs one.
@@ -9,6 +9,15 @@
 use crate::queue::Queue;
 use crate::time::Ms;
 
+/// Source of permits for loads from the weight store.
+pub trait LoadGate {
+    /// Takes a permit for one load that is charged to `team`.
+    fn try_load(&mut self, now: Ms, team: &Team) -> bool;
+
+    /// Returns a permit whose load was never ordered.
+    fn give_back(&mut self, _now: Ms, _team: &Team) {}
+}
+
 /// The demand of a team that is to be loaded next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Demand {
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -8,6 +8,7 @@
 
 use crate::error::Error;
 use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Set, Team};
+pub use crate::loads::LoadGate;
 use crate::loads::{Demand, LoadShare};
 pub use crate::place::LoadView;
 use crate::queue::{Job, Queue};
@@ -50,15 +51,6 @@
     }
 }
 
-/// Source of permits for loads from the weight store.
-pub trait LoadGate {
-    /// Takes a permit for one load that is charged to `team`.
-    fn try_load(&mut self, now: Ms, team: &Team) -> bool;
-
-    /// Returns a permit whose load was never ordered.
-    fn give_back(&mut self, _now: Ms, _team: &Team) {}
-}
-
 /// Why a job was refused; it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RefuseReason {
@@ -561,14 +553,16 @@
             if self.slots.loading() >= self.spec.loads {
                 return;
             }
+            let mut full = true;
             let ordered = demands.iter().find_map(|d| {
                 let waited = now.since(d.arrived);
                 let room = self.slots.room(now, waited, |a| self.queue.waiting(a) > 0);
+                full &= room == Room::None;
                 let fits = room != Room::None && gate.try_load(now, &d.team);
                 fits.then(|| (d.clone(), room))
             });
             let Some((Demand { team, adapter, .. }, room)) = ordered else {
-                if demands.iter().any(|d| now.since(d.arrived) >= RETIRE) {
+                if full && demands.iter().any(|d| now.since(d.arrived) >= RETIRE) {
                     self.slots.retire(now, self.spec.loads);
                 }
                 return;
