--- a/src/queue.rs
+++ b/src/queue.rs
@@ -195,12 +195,16 @@
         self.detach(at, kind, pos)
     }
 
-    /// Removes the newest job of the least urgent kind of the team with most queued tokens
-    /// over weight, so that a flood by one team displaces only that team's jobs.
+    /// Removes the newest job of the team with most queued tokens over weight, so that
+    /// a flood by one team displaces only that team's jobs.
+    ///
+    /// It comes from the least urgent kind that holds more than its bounded share of the
+    /// team's queue, because a lower kind would otherwise be shed before it is ever served.
     pub fn shed(&mut self) -> Option<Job> {
         let heaviest = |t: &&TeamQueue| (t.tokens / t.weight, t.jobs as u64);
         let team = self.teams.iter().filter(|t| t.jobs > 0).max_by_key(heaviest)?;
-        let attempt = team.lanes.iter().rev().find_map(|l| l.jobs.back())?.attempt;
+        let over = |l: &&Lane| l.jobs.len() * LOWER_SHARE as usize > team.jobs;
+        let attempt = team.lanes.iter().rev().find(over)?.jobs.back()?.attempt;
         self.remove(attempt)
     }
 
