--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod place;
 mod loan;
 pub mod platform;
+pub mod prefix;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
