--- /dev/null
+++ b/src/calls.rs
@@ -0,0 +1,352 @@
+//! The life of a call to a plain service.
+//!
+//! A call that must not be repeated and carries an idempotency key is claimed in
+//! the table service before its first byte leaves. It runs in a task of its own,
+//! so that a caller who goes away does not leave its outcome unrecorded.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use tokio::time::sleep;
+
+use crate::attempt::{AttemptState, Backoff, Step};
+use crate::claim::{Answer as StoredAnswer, Call as ClaimCall, Outcome, body_digest, row_key};
+use crate::config::RouteSpec;
+use crate::denial::{Denial, Reason};
+use crate::engine::StartError;
+use crate::entry::Demand;
+use crate::ids::{AttemptId, Endpoint, Node, RequestId, Team};
+use crate::keyed::{ClaimEvent, Keyed};
+use crate::permit::{BACKOFF, BACKOFF_MAX, Permit};
+use crate::quarantine;
+use crate::serve::{ATTEMPTS_MAX, Answer, Caller};
+use crate::service::{Service, ServiceCall as WireCall, ServiceReply};
+use crate::shell::{Measured, Ports, Shell};
+use crate::time::{Ms, wall_clock};
+
+/// Time for which a lost answer is looked up at the service.
+const RESOLVE: Ms = Ms::secs(2);
+/// Pause between two look-ups.
+const RESOLVE_PAUSE: Ms = Ms(100);
+
+/// A call to a service after parsing and authentication.
+pub(crate) struct ServiceCall {
+    /// The request's identifier.
+    pub(crate) id: RequestId,
+    /// Who sent it.
+    pub(crate) caller: Caller,
+    /// Team whose rate it uses.
+    pub(crate) team: Team,
+    /// Its route.
+    pub(crate) route: RouteSpec,
+    /// Method of the caller.
+    pub(crate) method: Method,
+    /// Path and query below the service's root.
+    pub(crate) path: String,
+    /// Headers of the caller.
+    pub(crate) headers: HeaderMap,
+    /// Body of the caller.
+    pub(crate) body: Bytes,
+    /// The caller's idempotency key.
+    pub(crate) key: Option<String>,
+}
+
+/// Runs a call and returns its answer or the reason of its refusal.
+///
+/// # Errors
+/// Returns the refusal; `ran` tells whether an attempt may have run.
+pub(crate) async fn service<P: Ports>(
+    shell: Arc<Shell<P>>,
+    call: ServiceCall,
+) -> Result<Answer, Denial> {
+    let begun = shell.now();
+    let deadline = begun + shell.limits().request;
+    let mut stock = shell.admit(&call.team, call.route.tokens, deadline).await?;
+    stock.used = call.route.tokens;
+    let demand = Demand {
+        request: call.id,
+        team: call.team.clone(),
+        pool: call.route.pool.clone(),
+        adapter: None,
+        kind: call.route.priority,
+        tokens: call.route.tokens,
+        fingerprint: quarantine::fingerprint(&call.team, None, &call.body),
+        repeatable: call.route.idempotent,
+        deadline,
+    };
+    let key = call.caller.key.clone();
+    let (team, route) = (call.team.clone(), call.route.clone());
+    let run = ServiceRun {
+        shell: shell.clone(),
+        call,
+        demand,
+        excluded: Vec::new(),
+        backoff: Backoff::new(BACKOFF, BACKOFF_MAX),
+    };
+    shell.retries.lock().unwrap().on_first(begun);
+    let answer = if route.idempotent {
+        tokio::select! {
+            answer = run.repeatable() => answer,
+            denial = shell.withdrawn(key) => Err(denial),
+        }
+    } else {
+        // Runs on when the caller goes away: an attempt that was sent must be
+        // recorded with its outcome.
+        let task = tokio::spawn(run.once());
+        task.await.unwrap_or_else(|_| {
+            Err(Denial::unknown(Reason::EndpointFailed, "the call ended without an outcome"))
+        })
+    };
+    let end = shell.now();
+    let measured = Measured { begun, first: None, end, tokens: 0, answered: answer.is_ok() };
+    shell.record_service(&team, &route, &measured);
+    drop(stock);
+    answer
+}
+
+struct ServiceRun<P: Ports> {
+    shell: Arc<Shell<P>>,
+    call: ServiceCall,
+    demand: Demand,
+    excluded: Vec<Endpoint>,
+    backoff: Backoff,
+}
+
+/// How an attempt failed.
+struct Failed {
+    denial: Denial,
+    state: AttemptState,
+    attempt: AttemptId,
+}
+
+impl<P: Ports> ServiceRun<P> {
+    /// Runs a call that may be repeated.
+    async fn repeatable(mut self) -> Result<Answer, Denial> {
+        self.tries().await.map(whole)
+    }
+
+    /// Runs a call that must run at most once.
+    async fn once(mut self) -> Result<Answer, Denial> {
+        match self.call.key.clone() {
+            Some(key) => self.keyed(&key).await,
+            // Without a key only attempts that certainly did not run are followed
+            // by another.
+            None => self.tries().await.map(whole),
+        }
+    }
+
+    async fn tries(&mut self) -> Result<ServiceReply, Denial> {
+        for n in 0.. {
+            let (endpoint, owner) = self.shell.route(&self.demand, &mut self.excluded).await?;
+            let attempt = AttemptId(rand::random());
+            let failed = match self.attempt(attempt, &endpoint, &owner).await {
+                Ok(reply) => return Ok(reply),
+                Err(failed) => failed,
+            };
+            self.pause_or_stop(n, failed).await?;
+        }
+        unreachable!("the loop returns")
+    }
+
+    /// Waits before the next attempt, or returns the denial of the last one.
+    async fn pause_or_stop(&mut self, n: usize, failed: Failed) -> Result<(), Denial> {
+        let repeatable = self.demand.repeatable;
+        let deadline = self.demand.deadline;
+        let again = n + 1 < ATTEMPTS_MAX
+            && match failed.state {
+                AttemptState::Unsent => self.shell.now() < deadline,
+                state => self.shell.may_retry(&state, repeatable, deadline),
+            };
+        if !again {
+            return Err(failed.denial);
+        }
+        self.shell.metrics.retries(1, failed.denial.reason.code());
+        let pause = self.shell.pause(&mut self.backoff);
+        sleep(pause.std()).await;
+        Ok(())
+    }
+
+    /// Claims the key, then runs the call.
+    async fn keyed(&mut self, key: &str) -> Result<Answer, Denial> {
+        for n in 0.. {
+            let (endpoint, owner) = self.shell.route(&self.demand, &mut self.excluded).await?;
+            let attempt = AttemptId(rand::random());
+            let claim = ClaimCall {
+                key: row_key(&self.call.route.name, &self.call.team, key),
+                digest: body_digest(&self.call.body),
+                attempt,
+                endpoint: endpoint.clone(),
+                deadline: self.demand.deadline,
+                created: wall_clock(),
+            };
+            let (ticket, event) = match self.shell.open_claim(claim) {
+                Keyed::Decided(event) => return decided(event),
+                Keyed::Full => {
+                    let message = "too many calls wait for the table service";
+                    return Err(Denial::new(Reason::Overloaded, message).retry_after(Ms::secs(1)));
+                }
+                Keyed::Pending(ticket, rx) => match rx.await {
+                    Ok(event) => (ticket, event),
+                    Err(_) => return decided(ClaimEvent::NotRun),
+                },
+            };
+            if !matches!(event, ClaimEvent::Proceed) {
+                return decided(event);
+            }
+            let failed = match self.attempt(attempt, &endpoint, &owner).await {
+                Ok(reply) => {
+                    self.shell.finish_claim(ticket, Outcome::Answer(stored(&reply)));
+                    return Ok(whole(reply));
+                }
+                Err(failed) => failed,
+            };
+            if !failed.denial.ran {
+                self.shell.finish_claim(ticket, Outcome::NotRun);
+                self.pause_or_stop(n, failed).await?;
+                continue;
+            }
+            // The answer was lost; the service may know it.
+            if let Some(reply) = self.resolve(&endpoint, failed.attempt).await {
+                self.shell.finish_claim(ticket, Outcome::Answer(stored(&reply)));
+                return Ok(whole(reply));
+            }
+            self.shell.finish_claim(ticket, Outcome::Unknown);
+            return Err(failed.denial);
+        }
+        unreachable!("the loop returns")
+    }
+
+    /// Looks a lost answer up at the service that was called.
+    async fn resolve(&self, endpoint: &Endpoint, attempt: AttemptId) -> Option<ServiceReply> {
+        let path = self.call.route.status.clone()?;
+        let service = self.shell.service(endpoint)?;
+        let until = self.shell.now() + RESOLVE;
+        while self.shell.now() < until {
+            if let Ok(Some(found)) = service.status(&path, attempt).await {
+                let mut headers = HeaderMap::new();
+                if let Ok(content) = HeaderValue::from_str(&found.content) {
+                    headers.insert(http::header::CONTENT_TYPE, content);
+                }
+                return Some(ServiceReply { status: found.status, headers, body: found.body });
+            }
+            sleep(RESOLVE_PAUSE.std()).await;
+        }
+        None
+    }
+
+    async fn attempt(
+        &mut self,
+        attempt: AttemptId,
+        endpoint: &Endpoint,
+        owner: &Node,
+    ) -> Result<ServiceReply, Failed> {
+        let permit = self.shell.permit(&self.demand, attempt, endpoint, owner).await;
+        let mut permit = permit.map_err(|refusal| {
+            self.excluded.push(endpoint.clone());
+            Failed { denial: refusal.denial(), state: AttemptState::Unsent, attempt }
+        })?;
+        let wire = WireCall {
+            attempt,
+            fence: permit.fence,
+            method: self.call.method.clone(),
+            path: self.call.path.clone(),
+            headers: self.call.headers.clone(),
+            body: self.call.body.clone(),
+            deadline: self.shell.instant(self.demand.deadline),
+        };
+        let Some(service) = self.shell.service(endpoint) else {
+            return Err(self.unsent(permit, "the endpoint is no longer listed"));
+        };
+        if !permit.send() {
+            return Err(self.unsent(permit, "the permit expired before the call left"));
+        }
+        match service.call(&wire).await {
+            Ok(reply) => {
+                permit.tokens = self.call.route.tokens;
+                permit.step(Step::Answer);
+                Ok(reply)
+            }
+            Err(StartError::Unsent(e)) => {
+                permit.step(Step::Refuse);
+                Err(self.unsent(permit, &e))
+            }
+            Err(StartError::Refused { status, .. }) => {
+                permit.step(Step::Refuse);
+                self.excluded.push(endpoint.clone());
+                let message = format!("the service refused the call with status {status}");
+                let denial = Denial::new(Reason::EndpointRefused, message);
+                Err(Failed {
+                    denial: denial.retry_after(Ms::secs(1)),
+                    state: permit.state,
+                    attempt,
+                })
+            }
+            Err(StartError::Unknown(e)) => {
+                permit.step(Step::Lose);
+                self.excluded.push(endpoint.clone());
+                log::warn!("request {} attempt {attempt} on {endpoint} failed: {e}", self.call.id);
+                let message = "the service failed while the call may have been running";
+                let denial = Denial::unknown(Reason::EndpointFailed, message);
+                Err(Failed { denial, state: permit.state, attempt })
+            }
+        }
+    }
+
+    fn unsent(&mut self, permit: Permit<P>, why: &str) -> Failed {
+        self.excluded.push(permit.endpoint.clone());
+        let denial = Denial::new(Reason::NoEndpoint, format!("the service was not reached: {why}"));
+        let state = AttemptState::Unsent;
+        Failed { denial: denial.retry_after(Ms::secs(1)), state, attempt: permit.attempt }
+    }
+}
+
+fn decided(event: ClaimEvent) -> Result<Answer, Denial> {
+    match event {
+        ClaimEvent::Replay(answer) => Ok(replayed(&answer)),
+        ClaimEvent::Conflict => Err(Denial::new(
+            Reason::KeyConflict,
+            "this idempotency key was used with another body; the call did not run",
+        )),
+        ClaimEvent::Unknown(attempt) => {
+            let message = "the outcome of the first call with this idempotency key is unknown";
+            Err(Denial::unknown(Reason::OutcomeUnknown, message).fact("attempt", attempt))
+        }
+        ClaimEvent::NotRun | ClaimEvent::Proceed => {
+            let message = "the call could not be claimed in time; it did not run";
+            Err(Denial::new(Reason::ClaimTimeout, message).retry_after(Ms::secs(1)))
+        }
+    }
+}
+
+fn whole(reply: ServiceReply) -> Answer {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    Answer::Whole { status, headers: reply.headers, body: reply.body }
+}
+
+fn stored(reply: &ServiceReply) -> StoredAnswer {
+    let headers = reply.headers.iter().filter_map(|(name, value)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    });
+    StoredAnswer {
+        status: reply.status,
+        headers: headers.collect(),
+        body: reply.body.clone(),
+        cut: false,
+    }
+}
+
+fn replayed(answer: &StoredAnswer) -> Answer {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.append(name, value);
+        }
+    }
+    if answer.cut {
+        headers.insert("x-body-omitted", HeaderValue::from_static("true"));
+    }
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    Answer::Replayed { status, headers, body: answer.body.clone() }
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -20,7 +20,7 @@
 use crate::operate::{self, Applied, Stamp};
 use crate::refusal::{instant, parse_instant};
 use crate::settings::{Purpose, Settings};
-use crate::{cli, client, keys as key, withdraw as edit};
+use crate::{client, keys as key, withdraw as edit};
 
 type Done = std::result::Result<Output, Stop>;
 
@@ -65,7 +65,7 @@
         Err(findings) => return Ok(findings_output(&findings)),
     };
     let log = crate::log::start(&settings.log)?;
-    let served = cli::serve(settings).await;
+    let served = crate::node::serve(settings).await;
     drop(log);
     served?;
     Ok(Output::ok("", json!({"result": "ended"})))
@@ -346,7 +346,7 @@
 pub async fn demo(mut args: Arguments) -> Done {
     let port = args.opt_value_from_str("--port-base")?.unwrap_or(DEMO_PORT);
     finish(args)?;
-    cli::demo(port).await?;
+    crate::demo::run(port).await?;
     Ok(Output::ok("", json!({"result": "ended"})))
 }
 
--- /dev/null
+++ b/src/completion.rs
@@ -0,0 +1,431 @@
+//! The life of a completion: admission, permit, attempts, answer, settlement.
+//!
+//! A request that is not answered releases everything it holds when its future is
+//! dropped: the permit's pin at the owner and the unused part of the reservation.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use http::StatusCode;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::attempt::{AttemptState, Backoff, Step};
+use crate::config::{Config, ModelTarget, RouteSpec, Serves};
+use crate::denial::{Denial, Reason};
+use crate::engine::{Call, Engine, Frame, Reply, StartError, Usage};
+use crate::entry::Demand;
+use crate::gateway::error_event;
+use crate::ids::{AttemptId, Endpoint, RequestId, Team};
+use crate::openai::{ChunkView, Completion};
+use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Stock};
+use crate::quarantine;
+use crate::serve::{ATTEMPTS_MAX, Answer, Caller, passed};
+use crate::shell::{Measured, Ports, Shell};
+use crate::time::Ms;
+
+/// Events that may wait for a slow caller before the engine's stream is held back.
+const EVENTS: usize = 64;
+/// A completion request after parsing and authentication.
+pub(crate) struct CompletionCall {
+    /// The request's identifier.
+    pub(crate) id: RequestId,
+    /// Who sent it.
+    pub(crate) caller: Caller,
+    /// The parsed body.
+    pub(crate) parsed: Completion,
+    /// Path at the engine.
+    pub(crate) path: &'static str,
+    /// Route of the model, for service levels.
+    pub(crate) route: Option<RouteSpec>,
+    /// What the request needs of an endpoint; its deadline is set on admission.
+    pub(crate) demand: Demand,
+    /// Name that the engine must report.
+    pub(crate) model: String,
+}
+
+/// Priority class of models without a route.
+const DEFAULT_KIND: u8 = 1;
+
+impl CompletionCall {
+    /// Joins what was parsed with what the configuration says about the model.
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn new(
+        config: &Config,
+        id: RequestId,
+        caller: Caller,
+        team: Team,
+        target: ModelTarget,
+        parsed: Completion,
+        path: &'static str,
+        body: &[u8],
+    ) -> Self {
+        let route = config.model_route(&target.base, false).cloned();
+        let serves = |p: &&crate::config::PoolSpec| matches!(&p.serves, Serves::Model(m) if **m == *target.base);
+        let pool = match &route {
+            Some(route) => route.pool.clone(),
+            None => {
+                config.pools().iter().find(serves).map_or_else(|| "".into(), |p| p.name.clone())
+            }
+        };
+        let adapter = target.adapter.as_ref().map(|a| &a.adapter);
+        let demand = Demand {
+            request: id,
+            fingerprint: quarantine::fingerprint(&team, adapter, body),
+            team,
+            pool,
+            kind: route.as_ref().map_or(DEFAULT_KIND, |r| r.priority),
+            tokens: parsed.tokens,
+            repeatable: true,
+            deadline: Ms(0),
+            adapter: target.adapter.clone(),
+        };
+        let model = match &target.adapter {
+            Some(adapter) => adapter.to_string(),
+            None => target.base.to_string(),
+        };
+        Self { id, caller, parsed, path, route, demand, model }
+    }
+}
+
+/// Runs a completion and returns its answer or the reason of its refusal.
+///
+/// # Errors
+/// Returns the refusal; `ran` tells whether an attempt may have run.
+pub(crate) async fn completion<P: Ports>(
+    shell: Arc<Shell<P>>,
+    mut call: CompletionCall,
+) -> Result<Answer, Denial> {
+    let begun = shell.now();
+    let deadline = begun + shell.limits().request;
+    call.demand.deadline = deadline;
+    let stock = shell.admit(&call.demand.team, call.demand.tokens, deadline).await?;
+    let key = call.caller.key.clone();
+    let mut run = CompletionRun {
+        shell: shell.clone(),
+        call,
+        stock,
+        excluded: Vec::new(),
+        backoff: Backoff::new(BACKOFF, BACKOFF_MAX),
+        begun,
+        first: None,
+        sent: 0,
+        usage: None,
+    };
+    shell.retries.lock().unwrap().on_first(begun);
+    if run.call.parsed.stream {
+        let started = tokio::select! {
+            started = run.start() => started?,
+            denial = shell.withdrawn(key) => return Err(denial),
+        };
+        let started = match started {
+            Ok(started) => started,
+            Err((status, body)) => return Ok(passed(status, body)),
+        };
+        let (tx, events) = mpsc::channel(EVENTS);
+        let model = run.call.model.clone();
+        tokio::spawn(run.stream(started, tx));
+        Ok(Answer::Events { model, events })
+    } else {
+        tokio::select! {
+            answer = run.whole() => answer,
+            denial = shell.withdrawn(key) => Err(denial),
+        }
+    }
+}
+
+struct CompletionRun<P: Ports> {
+    shell: Arc<Shell<P>>,
+    call: CompletionCall,
+    stock: Stock<P>,
+    excluded: Vec<Endpoint>,
+    backoff: Backoff,
+    begun: Ms,
+    first: Option<Ms>,
+    sent: u64,
+    usage: Option<Usage>,
+}
+
+/// A reply whose first frame has arrived.
+struct Started<P: Ports> {
+    permit: Permit<P>,
+    reply: Reply<<P::Engine as Engine>::Frames>,
+    first: Option<Frame>,
+}
+
+/// How an attempt failed before its first frame.
+enum Failed {
+    /// Another attempt may help.
+    Again(Denial, AttemptState),
+    /// The caller gets this.
+    Final(Denial),
+    /// The engine's own refusal passes to the caller.
+    Pass(StatusCode, Bytes),
+}
+
+impl<P: Ports> CompletionRun<P> {
+    /// Makes attempts until one has its first frame.
+    async fn start(&mut self) -> Result<Result<Started<P>, (StatusCode, Bytes)>, Denial> {
+        for n in 0.. {
+            let (denial, state) = match self.attempt().await {
+                Ok(started) => return Ok(Ok(started)),
+                Err(Failed::Final(denial)) => return Err(denial),
+                Err(Failed::Pass(status, body)) => return Ok(Err((status, body))),
+                Err(Failed::Again(denial, state)) => (denial, state),
+            };
+            let late = self.shell.now() >= self.call.demand.deadline;
+            if n + 1 >= ATTEMPTS_MAX || late {
+                return Err(denial);
+            }
+            // A permit that was refused costs the endpoints nothing.
+            let free = state == AttemptState::Unsent;
+            if !free && !self.shell.may_retry(&state, true, self.call.demand.deadline) {
+                return Err(denial);
+            }
+            self.shell.metrics.retries(1, denial.reason.code());
+            let pause = self.shell.pause(&mut self.backoff);
+            sleep(pause.std()).await;
+        }
+        unreachable!("the loop returns")
+    }
+
+    async fn attempt(&mut self) -> Result<Started<P>, Failed> {
+        self.shell.check_fingerprint(self.call.demand.fingerprint).map_err(Failed::Final)?;
+        let (endpoint, owner) =
+            self.shell.route(&self.call.demand, &mut self.excluded).await.map_err(Failed::Final)?;
+        let attempt = AttemptId(rand::random());
+        let permit = self.shell.permit(&self.call.demand, attempt, &endpoint, &owner).await;
+        let mut permit = permit.map_err(|refusal| {
+            self.excluded.push(endpoint.clone());
+            match refusal.passing() {
+                true => Failed::Again(refusal.denial(), AttemptState::Unsent),
+                false => Failed::Final(refusal.denial()),
+            }
+        })?;
+        let call = Call {
+            attempt,
+            fence: permit.fence,
+            path: self.call.path.to_owned(),
+            body: self.call.parsed.engine_body(&self.call.model, self.call.demand.kind),
+            stream: self.call.parsed.stream,
+            deadline: self.shell.instant(self.call.demand.deadline),
+            resume: None,
+        };
+        let Some(engine) = self.shell.engine(&endpoint) else {
+            return Err(self.unsent(permit, "the endpoint is no longer listed"));
+        };
+        if !permit.send() {
+            return Err(self.unsent(permit, "the permit expired before the request left"));
+        }
+        match engine.start(&call).await {
+            Ok(mut reply) => match reply.frames.next().await {
+                Some(Ok(frame)) => {
+                    permit.step(Step::Start);
+                    Ok(Started { permit, reply, first: Some(frame) })
+                }
+                Some(Err(e)) => Err(self.broken(permit, &format!("{e:?}"))),
+                None => Err(self.broken(permit, "the answer was empty")),
+            },
+            Err(StartError::Unsent(e)) => {
+                permit.step(Step::Refuse);
+                Err(self.unsent(permit, &e))
+            }
+            Err(StartError::Refused { status, body }) => {
+                permit.step(Step::Refuse);
+                Err(self.refused(permit, status, body))
+            }
+            Err(StartError::Unknown(e)) => Err(self.broken(permit, &e)),
+        }
+    }
+
+    fn unsent(&mut self, permit: Permit<P>, why: &str) -> Failed {
+        self.excluded.push(permit.endpoint.clone());
+        let denial =
+            Denial::new(Reason::NoEndpoint, format!("the endpoint was not reached: {why}"));
+        Failed::Again(denial.retry_after(Ms::secs(1)), AttemptState::Unsent)
+    }
+
+    fn broken(&mut self, mut permit: Permit<P>, why: &str) -> Failed {
+        permit.step(Step::Lose);
+        self.excluded.push(permit.endpoint.clone());
+        log::warn!(
+            "request {} attempt {} on {} failed: {why}",
+            self.call.id,
+            permit.attempt,
+            permit.endpoint
+        );
+        let message = "the endpoint failed while the request may have been running";
+        let denial = Denial::unknown(Reason::EndpointFailed, message);
+        Failed::Again(denial.retry_after(Ms::secs(1)), permit.state)
+    }
+
+    fn refused(&mut self, permit: Permit<P>, status: u16, body: Bytes) -> Failed {
+        self.excluded.push(permit.endpoint.clone());
+        // 400 and 422 are about the request itself; no other endpoint decides otherwise.
+        if matches!(status, 400 | 422) {
+            return Failed::Pass(StatusCode::from_u16(status).unwrap_or_default(), body);
+        }
+        let message = format!("the endpoint refused the request with status {status}");
+        let denial = Denial::new(Reason::EndpointRefused, message);
+        Failed::Again(denial.retry_after(Ms::secs(1)), permit.state)
+    }
+
+    /// Sees that a frame comes from the adapter and version that were asked for.
+    fn check_frame(&self, frame: &Frame) -> Result<(), Denial> {
+        if frame.model == self.call.model {
+            return Ok(());
+        }
+        log::error!(
+            "invariant violated: request {} for {} was answered by {}; answer withheld",
+            self.call.id,
+            self.call.model,
+            frame.model
+        );
+        self.shell.metrics.faults(1, "adapter");
+        Err(Denial::unknown(Reason::WrongAdapter, "the answer came from another adapter"))
+    }
+
+    fn count(&mut self, permit: &mut Permit<P>, frame: &Frame) {
+        if let Some(usage) = frame.usage {
+            self.usage = Some(usage);
+        }
+        self.sent += frame.tokens;
+        if self.first.is_none() && frame.tokens > 0 {
+            let now = self.shell.now();
+            self.first = Some(now);
+            let route = self.call.route.as_ref().map_or("-", |r| r.name.as_str());
+            self.shell.metrics.first_token(now.since(self.begun).0, route);
+        }
+        let total = self.usage.map_or(self.sent, |u| u.prompt + u.completion);
+        self.stock.used = total;
+        permit.tokens = total;
+    }
+
+    /// Collects a whole answer; a broken one is tried again.
+    async fn whole(mut self) -> Result<Answer, Denial> {
+        loop {
+            let Started { mut permit, mut reply, first } = match self.start().await? {
+                Ok(started) => started,
+                Err((status, body)) => return Ok(passed(status, body)),
+            };
+            let Some(frame) = first else { continue };
+            self.check_frame(&frame)?;
+            self.count(&mut permit, &frame);
+            if let Some(Err(e)) = reply.frames.next().await {
+                let failed = self.broken(permit, &format!("{e:?}"));
+                if let Failed::Again(denial, state) = failed
+                    && !self.shell.may_retry(&state, true, self.call.demand.deadline)
+                {
+                    return Err(denial);
+                }
+                continue;
+            }
+            permit.step(Step::Answer);
+            self.finished(true);
+            return Ok(passed(StatusCode::OK, frame.raw));
+        }
+    }
+
+    /// Streams an answer; a broken one is resumed at its offset where possible.
+    async fn stream(mut self, started: Started<P>, tx: mpsc::Sender<Bytes>) {
+        let shell = self.shell.clone();
+        let key = self.call.caller.key.clone();
+        let _running = shell.enter();
+        let result = tokio::select! {
+            result = self.pump(started, &tx) => result,
+            () = tx.closed() => return shell.metrics.cancelled(1, "caller"),
+            denial = shell.withdrawn(key) => Err(denial),
+        };
+        match result {
+            Ok(()) => {
+                self.finished(true);
+                let _ = tx.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
+            }
+            Err(denial) => {
+                self.finished(false);
+                let target = Some(self.call.parsed.model.as_str());
+                let id = self.call.id;
+                let refusal = self.shell.record_refusal(id, &self.call.caller, target, &denial);
+                let _ = tx.send(error_event(&denial, &refusal)).await;
+            }
+        }
+    }
+
+    async fn pump(&mut self, started: Started<P>, tx: &mpsc::Sender<Bytes>) -> Result<(), Denial> {
+        let Started { mut permit, mut reply, mut first } = started;
+        loop {
+            let next = match first.take() {
+                Some(frame) => Some(Ok(frame)),
+                None => reply.frames.next().await,
+            };
+            let e = match next {
+                Some(Ok(frame)) => {
+                    self.check_frame(&frame)?;
+                    self.count(&mut permit, &frame);
+                    self.forward(&frame, tx).await;
+                    continue;
+                }
+                None => {
+                    permit.step(Step::Answer);
+                    return Ok(());
+                }
+                Some(Err(e)) => e,
+            };
+            let resumed = match reply.resumable {
+                true => self.resume(&permit).await,
+                false => None,
+            };
+            match resumed {
+                Some(next) => reply = next,
+                None => {
+                    let Failed::Again(denial, _) = self.broken(permit, &format!("{e:?}")) else {
+                        unreachable!("a broken attempt may be tried again")
+                    };
+                    return Err(denial);
+                }
+            }
+        }
+    }
+
+    /// Continues the attempt's stream after the tokens that have arrived.
+    async fn resume(&mut self, permit: &Permit<P>) -> Option<Reply<<P::Engine as Engine>::Frames>> {
+        let engine = self.shell.engine(&permit.endpoint)?;
+        let call = Call {
+            attempt: permit.attempt,
+            fence: permit.fence,
+            path: self.call.path.to_owned(),
+            body: self.call.parsed.engine_body(&self.call.model, self.call.demand.kind),
+            stream: true,
+            deadline: self.shell.instant(self.call.demand.deadline),
+            resume: Some(self.sent),
+        };
+        let reply = engine.start(&call).await.ok()?;
+        self.shell.metrics.resumes(1);
+        log::info!("request {} resumed after {} tokens", self.call.id, self.sent);
+        Some(reply)
+    }
+
+    async fn forward(&self, frame: &Frame, tx: &mpsc::Sender<Bytes>) {
+        // The gateway asks for usage always; the caller gets it only on request.
+        let only_usage = frame.usage.is_some() && frame.tokens == 0;
+        if only_usage && !self.call.parsed.usage {
+            let view = serde_json::from_slice::<ChunkView>(&frame.raw);
+            if view.is_ok_and(|v| v.choices.is_empty()) {
+                return;
+            }
+        }
+        let mut event = BytesMut::with_capacity(frame.raw.len() + 8);
+        event.extend_from_slice(b"data: ");
+        event.extend_from_slice(&frame.raw);
+        event.extend_from_slice(b"\n\n");
+        let _ = tx.send(event.freeze()).await;
+    }
+
+    fn finished(&self, answered: bool) {
+        let Some(route) = &self.call.route else { return };
+        let (begun, first, tokens) = (self.begun, self.first, self.sent);
+        let answer = Measured { begun, first, end: self.shell.now(), tokens, answered };
+        self.shell.record_service(&self.call.demand.team, route, &answer);
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -52,7 +52,7 @@
     pub open: bool,
     /// Whether a second run is harmless.
     pub idempotent: bool,
-    /// Path of the endpoint's status query; `{key}` stands for the idempotency key.
+    /// Path of the service's status query; `/ATTEMPT` is appended to it.
     pub status: Option<Arc<str>>,
     /// Priority class, 0 is the most urgent.
     pub priority: u8,
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,404 @@
+//! The deterministic core of one node.
+//!
+//! Joins the tables (endpoints, peers, owned endpoints, permits) and the systems
+//! that run over them: authority, quota, scheduling, quarantine and heartbeats.
+//! The core performs no I/O; each method takes `now` and appends to `out` what the
+//! shell must perform. `entry` holds the entry node's decisions, `grant` those of
+//! an endpoint's owner, `beat` the heartbeats.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::authority::Authority;
+use crate::config::Config;
+use crate::engine::EngineState;
+use crate::entry::HeldPermit;
+use crate::fleet::{Fleet, vm_name};
+use crate::generated::peer::{self, frame::Body};
+use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Node, Set, Team};
+use crate::lease::{LeaseSettings, Level};
+use crate::owned::Owned;
+use crate::owner::{AuthorityOut, Order, Resource, View};
+use crate::place::Popularity;
+use crate::platform::Vm;
+use crate::quarantine::Quarantine;
+use crate::quota::{Peers, Quota, RateSpec, Reservation, SEATS};
+use crate::sched::EndpointSpec;
+use crate::settings::Settings;
+use crate::time::Ms;
+
+/// Team name under which the weight store's loads are rationed.
+///
+/// The document check allows no such name, so that it cannot meet a real team.
+pub(crate) const WEIGHTS: &str = "@weights";
+/// Interval between heartbeats.
+pub(crate) const BEAT: Ms = Ms(500);
+/// Interval between state queries of an owned endpoint.
+const POLL: Ms = Ms(500);
+/// Interval between forecasts of the quota.
+const PLAN: Ms = Ms(100);
+/// Time over which the popularity of an adapter decays.
+const POPULARITY_LIFE: Ms = Ms::secs(60);
+/// Requests a second for which an adapter gets one more replica.
+const POPULARITY_HOT: f64 = 4.0;
+
+/// What the shell must perform.
+#[derive(Debug)]
+pub(crate) enum Out {
+    /// Send a message to the node on that VM.
+    Send(String, Body),
+    /// Perform an operation of the authority module.
+    Authority(AuthorityOut),
+    /// Order an endpoint to load an adapter.
+    Load(EndpointOrder),
+    /// Order an endpoint to evict an adapter.
+    Evict(EndpointOrder),
+    /// Read an endpoint's own state.
+    Query(Endpoint),
+    /// Hand a reply to the local request that waits for it.
+    Reply(AttemptId, peer::PermitReply),
+    /// Read the configuration with this serial and digest.
+    Fetch(u64, String),
+}
+
+/// An order to an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointOrder {
+    /// The endpoint.
+    pub(crate) endpoint: Endpoint,
+    /// The adapter concerned.
+    pub(crate) adapter: AdapterRef,
+    /// Number that the report must carry.
+    pub(crate) epoch: u64,
+}
+
+/// State of one node.
+pub(crate) struct Core {
+    pub(crate) me: Node,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) config: Option<Arc<Config>>,
+    pub(crate) authority: Authority,
+    pub(crate) quota: Quota,
+    pub(crate) stock_views: Peers,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) fleet: Fleet,
+    pub(crate) owned: BTreeMap<Endpoint, Owned>,
+    pub(crate) held: BTreeMap<AttemptId, HeldPermit>,
+    pub(crate) popularity: Popularity,
+    pub(crate) rng: SmallRng,
+    pub(crate) draining: bool,
+    pub(crate) load_permits: Vec<Reservation>,
+    pub(crate) crashes: Vec<(Ms, peer::Crash)>,
+    pub(crate) counted: Set<(String, String)>,
+    pub(crate) cleared: Vec<(Ms, u64)>,
+    pub(crate) listed: Map<Endpoint, Vec<AdapterRef>>,
+    pub(crate) owner_since: Map<Endpoint, (u64, Ms)>,
+    pub(crate) beats: u64,
+    /// Invariant violations, for the log and the tests.
+    pub(crate) faults: Vec<String>,
+    resources: Vec<Resource>,
+    next_beat: Ms,
+    next_plan: Ms,
+    suspended: bool,
+}
+
+impl Core {
+    /// The core of a node that owns nothing and has no configuration.
+    pub(crate) fn new(me: Node, settings: Arc<Settings>, seed: u64) -> Self {
+        let lease = lease_settings(&settings);
+        Self {
+            authority: Authority::new(me.clone(), lease, seed),
+            quota: Quota::new(crate::quota::Settings::default()),
+            stock_views: Peers::default(),
+            quarantine: Quarantine::default(),
+            fleet: Fleet::default(),
+            owned: BTreeMap::new(),
+            held: BTreeMap::new(),
+            popularity: Popularity::new(POPULARITY_LIFE, POPULARITY_HOT),
+            rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
+            draining: false,
+            load_permits: Vec::new(),
+            crashes: Vec::new(),
+            counted: Set::default(),
+            cleared: Vec::new(),
+            listed: Map::default(),
+            owner_since: Map::default(),
+            beats: 0,
+            faults: Vec::new(),
+            resources: Vec::new(),
+            next_beat: Ms(0),
+            next_plan: Ms(0),
+            suspended: true,
+            config: None,
+            settings,
+            me,
+        }
+    }
+
+    /// Adopts a configuration with a higher serial than the present one.
+    pub(crate) fn set_config(&mut self, now: Ms, config: Arc<Config>) -> bool {
+        if self.config.as_ref().is_some_and(|c| c.serial() >= config.serial()) {
+            return false;
+        }
+        let mut rates: Vec<(Team, RateSpec)> = config
+            .teams()
+            .iter()
+            .map(|t| (t.name.clone(), RateSpec::new(t.rate, t.burst)))
+            .collect();
+        if let Some(store) = config.store() {
+            let rate = store.loads.ceil().max(1.0) as u64;
+            let burst = rate.max(store.concurrent).max(SEATS as u64);
+            let spec = RateSpec { rate, burst, concurrent: Some(store.concurrent) };
+            rates.push((Team::new(WEIGHTS), spec));
+        }
+        self.quota.set_rates(now, &rates);
+        for owned in self.owned.values_mut() {
+            set_weights(owned, &config);
+        }
+        self.config = Some(config);
+        self.list_resources();
+        true
+    }
+
+    /// Adopts the platform's list.
+    pub(crate) fn set_vms(&mut self, now: Ms, vms: &[Vm], out: &mut Vec<Out>) {
+        let settings = self.settings.clone();
+        self.fleet.set_list(&settings.node, vms, &settings);
+        self.list_resources();
+        let leaving: Vec<Endpoint> = self
+            .owned
+            .keys()
+            .filter(|name| self.fleet.endpoint(name).is_none_or(|e| e.leaving))
+            .cloned()
+            .collect();
+        for name in leaving {
+            self.with_owned(now, &name, out, |owned, outs| owned.sched.set_leaving(now, outs));
+        }
+    }
+
+    /// Seats exist per team and for the weight store; endpoints as listed.
+    fn list_resources(&mut self) {
+        let mut resources: Vec<Resource> =
+            self.fleet.endpoints().iter().map(|e| e.resource()).collect();
+        if let Some(config) = &self.config {
+            let teams = config.teams().iter().map(|t| t.name.clone());
+            for team in teams.chain([Team::new(WEIGHTS)]) {
+                resources.extend(
+                    (0..SEATS as u32).map(|index| Resource::Seat { team: team.clone(), index }),
+                );
+            }
+        }
+        self.resources = resources;
+    }
+
+    /// Advances all systems to `now`.
+    pub(crate) fn tick(&mut self, now: Ms, out: &mut Vec<Out>) {
+        self.tick_authority(now, out);
+        self.tick_quota(now, out);
+        self.tick_owned(now, out);
+        self.refresh_own(now);
+        if now >= self.next_beat {
+            self.next_beat = now + BEAT;
+            self.beat(now, out);
+        }
+    }
+
+    fn tick_authority(&mut self, now: Ms, out: &mut Vec<Out>) {
+        let nodes = self.fleet.peer_views();
+        let resources = std::mem::take(&mut self.resources);
+        let view = View { nodes, resources };
+        let mut outs = Vec::new();
+        self.authority.tick(now, &view, &mut outs);
+        self.resources = view.resources;
+        self.absorb_authority(now, outs, out);
+        let suspended = self.authority.level(now) < Level::Promised;
+        if suspended != self.suspended {
+            self.suspended = suspended;
+            match suspended {
+                true => self.quota.suspend(now),
+                false => self.quota.resume(now),
+            }
+        }
+    }
+
+    /// Passes the authority module's outputs on, after an input to it.
+    pub(crate) fn drain_authority(&mut self, now: Ms, out: &mut Vec<Out>) {
+        let mut outs = Vec::new();
+        self.authority.drain(&mut outs);
+        self.absorb_authority(now, outs, out);
+    }
+
+    fn absorb_authority(&mut self, now: Ms, outs: Vec<AuthorityOut>, out: &mut Vec<Out>) {
+        for o in outs {
+            match o {
+                AuthorityOut::Gained { resource, fence, settle_until } => {
+                    self.gain(now, resource, fence, settle_until);
+                }
+                AuthorityOut::Lost { resource } => self.lose(now, &resource, out),
+                o => out.push(Out::Authority(o)),
+            }
+        }
+    }
+
+    fn gain(&mut self, now: Ms, resource: Resource, fence: u64, settle: Ms) {
+        match resource {
+            Resource::Endpoint { name, .. } => {
+                let Some(row) = self.fleet.endpoint(&name) else { return };
+                let mut spec =
+                    EndpointSpec::new(name.clone(), row.slots as usize, row.batch as usize);
+                spec.grace = crate::grant::PERMIT_VALID + spec.grace;
+                let mut owned = Owned::new(spec, fence, now);
+                if let Some(config) = &self.config {
+                    set_weights(&mut owned, config);
+                }
+                for fp in self.quarantine.suspects() {
+                    owned.sched.set_suspect(fp, true);
+                }
+                self.owned.insert(name, owned);
+            }
+            Resource::Seat { team, index } => {
+                // Loans of the former holder may run; a seat's first holder has none to wait for.
+                let quiet = match fence {
+                    0 | 1 => now,
+                    _ => settle.max(now) + crate::quota::Settings::default().quiet_time(),
+                };
+                self.quota.gain_seat(now, &team, index as usize, quiet);
+            }
+        }
+    }
+
+    fn lose(&mut self, now: Ms, resource: &Resource, out: &mut Vec<Out>) {
+        match resource {
+            Resource::Endpoint { name, .. } => {
+                if let Some(owned) = self.owned.remove(name) {
+                    for (attempt, row) in owned.jobs.iter().filter(|(_, j)| !j.granted) {
+                        let reply = crate::grant::refusal(*attempt, name, "not_owner", Ms(50));
+                        self.reply(&row.entry.clone(), *attempt, reply, out);
+                    }
+                }
+                self.listed.remove(name);
+            }
+            Resource::Seat { team, index } => {
+                self.quota.lose_seat(now, team, *index as usize);
+            }
+        }
+    }
+
+    fn tick_quota(&mut self, now: Ms, out: &mut Vec<Out>) {
+        if now < self.next_plan {
+            return;
+        }
+        self.next_plan = now + PLAN;
+        self.quota.levels(now);
+        for (node, ask) in self.quota.plan(now, &self.stock_views) {
+            out.push(Out::Send(vm_name(&node).to_owned(), Body::LoanAsk(crate::wire::ask(&ask))));
+        }
+    }
+
+    fn tick_owned(&mut self, now: Ms, out: &mut Vec<Out>) {
+        let names: Vec<Endpoint> = self.owned.keys().cloned().collect();
+        for name in names {
+            let mut gate =
+                crate::grant::Gate::new(&mut self.quota, &self.stock_views, &mut self.load_permits);
+            let mut outs = Vec::new();
+            if let Some(owned) = self.owned.get_mut(&name) {
+                if owned.ready() {
+                    owned.sched.tick(now, &mut gate, &mut outs);
+                }
+                if now >= owned.next_poll && !owned.polling {
+                    owned.polling = true;
+                    owned.next_poll = now + POLL;
+                    out.push(Out::Query(name.clone()));
+                }
+                for fault in owned.sched.take_faults() {
+                    self.faults.push(fault.to_string());
+                }
+            }
+            for (node, ask) in gate.into_asks() {
+                out.push(Out::Send(
+                    vm_name(&node).to_owned(),
+                    Body::LoanAsk(crate::wire::ask(&ask)),
+                ));
+            }
+            self.absorb_sched(now, &name, outs, out);
+        }
+    }
+
+    /// Checks an order directly before it leaves, and gives its fence.
+    pub(crate) fn order_fence(&self, now: Ms, endpoint: &Endpoint, order: Order) -> Option<u64> {
+        let row = self.fleet.endpoint(endpoint)?;
+        self.authority.check_order(now, &row.resource(), order).ok()
+    }
+
+    /// Handles the endpoint's own state; `None` for a plain service that answers.
+    pub(crate) fn on_state(
+        &mut self,
+        now: Ms,
+        endpoint: &Endpoint,
+        state: crate::error::Result<Option<EngineState>>,
+        out: &mut Vec<Out>,
+    ) {
+        let mut crash = None;
+        self.with_owned(now, endpoint, out, |owned, outs| {
+            owned.polling = false;
+            match state {
+                Ok(Some(state)) => crash = owned.on_state(now, &state, outs).crash,
+                Ok(None) => owned.on_alive(now, outs),
+                Err(e) => {
+                    log::warn!("endpoint {endpoint} did not report its state: {e}");
+                    owned.on_silence(now, outs);
+                }
+            }
+        });
+        if let Some((incarnation, flight)) = crash {
+            let crash = peer::Crash { endpoint: endpoint.to_string(), incarnation, flight };
+            self.count_crash(now, crash, out);
+        }
+    }
+
+    /// Applies a change to an owned endpoint and passes its outputs on.
+    pub(crate) fn with_owned(
+        &mut self,
+        now: Ms,
+        endpoint: &Endpoint,
+        out: &mut Vec<Out>,
+        change: impl FnOnce(&mut Owned, &mut Vec<crate::sched::SchedOut>),
+    ) {
+        let Some(owned) = self.owned.get_mut(endpoint) else { return };
+        let mut outs = Vec::new();
+        change(owned, &mut outs);
+        self.absorb_sched(now, endpoint, outs, out);
+    }
+
+    /// Starts a graceful shutdown.
+    pub(crate) fn drain(&mut self, now: Ms) {
+        self.draining = true;
+        self.next_beat = now;
+    }
+
+    /// Gives up everything that the node owns, once no request needs it.
+    pub(crate) fn release(&mut self, now: Ms, out: &mut Vec<Out>) {
+        self.authority.release_all(now);
+        self.drain_authority(now, out);
+    }
+}
+
+fn set_weights(owned: &mut Owned, config: &Config) {
+    for team in config.teams() {
+        // Queue weights are integers; three decimals keep small differences apart.
+        let weight = (team.weight * 1000.0).round().clamp(1.0, 1e9) as u32;
+        owned.sched.set_weight(&team.name, weight);
+    }
+}
+
+fn lease_settings(settings: &Settings) -> LeaseSettings {
+    LeaseSettings {
+        cell: settings.cell.clone(),
+        ttl: settings.lease.ttl,
+        bound: settings.lease.extension,
+        ..LeaseSettings::default()
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,239 @@
+//! Endpoints and nodes of the cell as one node knows them.
+//!
+//! Addresses come from the platform's list and the node's settings, load views
+//! and owners from the heartbeats of the owners.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::ids::{Endpoint, Map, Node};
+use crate::lease::Level;
+use crate::owner::{PeerView, Resource};
+use crate::place::{LoadView, Ring};
+use crate::platform::Vm;
+use crate::settings::{Role, Settings};
+use crate::time::Ms;
+
+/// Age from which a load view no longer proves that the endpoint has an owner.
+///
+/// Ten heartbeats: shorter than a takeover, longer than a pause of the owner.
+const VIEW_LIFE: Ms = Ms::secs(5);
+
+/// One endpoint of the cell.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointRow {
+    /// Name.
+    pub(crate) name: Endpoint,
+    /// Address of its HTTP interface.
+    pub(crate) addr: SocketAddr,
+    /// Engine or service.
+    pub(crate) role: Role,
+    /// Pool of the configuration document.
+    pub(crate) pool: Arc<str>,
+    /// Adapter slots.
+    pub(crate) slots: u32,
+    /// Most concurrent attempts.
+    pub(crate) batch: u32,
+    /// Whether it refuses orders with an old fence.
+    pub(crate) fenced: bool,
+    /// Failure domain.
+    pub(crate) domain: Arc<str>,
+    /// Whether the platform is taking it away.
+    pub(crate) leaving: bool,
+    /// Owner, as its heartbeat says.
+    pub(crate) owner: Option<Node>,
+    /// Fence of that owner.
+    pub(crate) fence: u64,
+    /// Load, as the owner's heartbeat says.
+    pub(crate) view: LoadView,
+    /// When that heartbeat arrived.
+    pub(crate) seen: Ms,
+}
+
+impl EndpointRow {
+    /// The owner, unless its last heartbeat is too old.
+    pub(crate) fn live_owner(&self, now: Ms) -> Option<&Node> {
+        self.owner.as_ref().filter(|_| now.since(self.seen) < VIEW_LIFE)
+    }
+
+    /// The resource that the owner holds.
+    pub(crate) fn resource(&self) -> Resource {
+        Resource::Endpoint { name: self.name.clone(), checks_fence: self.fenced }
+    }
+}
+
+/// Another node of the cell.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerRow {
+    /// Incarnation, once a link has shown it.
+    pub(crate) node: Option<Node>,
+    /// Address of its links.
+    pub(crate) addr: SocketAddr,
+    /// Whether the platform is taking its machine away.
+    pub(crate) leaving: bool,
+    /// Whether it says that it is shutting down.
+    pub(crate) draining: bool,
+    /// Arrival of its last heartbeat.
+    pub(crate) heard: Option<Ms>,
+    /// Lease counter of that heartbeat.
+    pub(crate) counter: u64,
+    /// Authority of that heartbeat.
+    pub(crate) level: Level,
+    /// Configuration serial of that heartbeat.
+    pub(crate) serial: u64,
+}
+
+/// Endpoints of one pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    /// Positions in the table of endpoints.
+    pub(crate) members: Vec<usize>,
+    /// Rendezvous hashes in the order of `members`.
+    pub(crate) ring: Ring,
+}
+
+/// Tables of endpoints and peers.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    endpoints: Vec<EndpointRow>,
+    index: Map<Endpoint, usize>,
+    pools: BTreeMap<Arc<str>, Pool>,
+    peers: BTreeMap<String, PeerRow>,
+}
+
+/// The name of a node's VM: the incarnation without its suffix.
+pub(crate) fn vm_name(node: &Node) -> &str {
+    node.as_str().rsplit_once('.').map_or(node.as_str(), |(vm, _)| vm)
+}
+
+impl Fleet {
+    /// Adopts the platform's list; owners and load views survive.
+    pub(crate) fn set_list(&mut self, me: &str, vms: &[Vm], settings: &Settings) {
+        let mut rows: BTreeMap<Endpoint, EndpointRow> = BTreeMap::new();
+        for s in &settings.endpoints {
+            if let Some(addr) = s.address.filter(|_| !s.name.ends_with('*')) {
+                self.insert_row(&mut rows, &s.name, addr, false, settings);
+            }
+        }
+        for vm in vms.iter().filter(|vm| vm.role != "node") {
+            self.insert_row(&mut rows, &vm.name, vm.addr, vm.leaving, settings);
+        }
+        self.endpoints = rows.into_values().collect();
+        self.index = self.endpoints.iter().enumerate().map(|(i, e)| (e.name.clone(), i)).collect();
+        self.pools = pools(&self.endpoints);
+        self.set_peers(me, vms);
+    }
+
+    fn insert_row(
+        &self,
+        rows: &mut BTreeMap<Endpoint, EndpointRow>,
+        name: &str,
+        addr: SocketAddr,
+        leaving: bool,
+        settings: &Settings,
+    ) {
+        let Some(s) = settings.endpoint(name) else { return };
+        let known = self.index.get(name).map(|i| &self.endpoints[*i]);
+        let row = EndpointRow {
+            name: name.into(),
+            addr,
+            role: s.role,
+            pool: Arc::from(s.pool.as_str()),
+            slots: s.slots,
+            batch: s.batch,
+            fenced: s.checks_fence,
+            domain: Arc::from(s.domain.as_str()),
+            leaving,
+            owner: known.and_then(|k| k.owner.clone()),
+            fence: known.map_or(0, |k| k.fence),
+            view: known.map_or_else(LoadView::default, |k| k.view.clone()),
+            seen: known.map_or(Ms(0), |k| k.seen),
+        };
+        rows.insert(row.name.clone(), row);
+    }
+
+    fn set_peers(&mut self, me: &str, vms: &[Vm]) {
+        let listed = |name: &str| vms.iter().any(|v| v.role == "node" && v.name == name);
+        self.peers.retain(|name, _| listed(name));
+        for vm in vms.iter().filter(|v| v.role == "node" && v.name != me) {
+            let row = self.peers.entry(vm.name.clone()).or_insert_with(|| PeerRow {
+                node: None,
+                addr: vm.addr,
+                leaving: false,
+                draining: false,
+                heard: None,
+                counter: 0,
+                level: Level::None,
+                serial: 0,
+            });
+            row.addr = vm.addr;
+            row.leaving = vm.leaving;
+        }
+    }
+
+    /// All endpoints by name.
+    pub(crate) fn endpoints(&self) -> &[EndpointRow] {
+        &self.endpoints
+    }
+
+    /// The endpoint with this name.
+    pub(crate) fn endpoint(&self, name: &Endpoint) -> Option<&EndpointRow> {
+        self.index.get(name).map(|i| &self.endpoints[*i])
+    }
+
+    /// The endpoint with this name.
+    pub(crate) fn endpoint_mut(&mut self, name: &Endpoint) -> Option<&mut EndpointRow> {
+        self.index.get(name).map(|i| &mut self.endpoints[*i])
+    }
+
+    /// The pool with this name.
+    pub(crate) fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.get(name)
+    }
+
+    /// Other nodes by the name of their VM.
+    pub(crate) fn peers(&self) -> &BTreeMap<String, PeerRow> {
+        &self.peers
+    }
+
+    /// The listed row of a node, adopting its incarnation.
+    pub(crate) fn peer_mut(&mut self, node: &Node) -> Option<&mut PeerRow> {
+        let row = self.peers.get_mut(vm_name(node))?;
+        if row.node.as_ref() != Some(node) {
+            row.node = Some(node.clone());
+            row.heard = None;
+            row.counter = 0;
+            row.level = Level::None;
+        }
+        Some(row)
+    }
+
+    /// Peers in the form that the authority module reads.
+    pub(crate) fn peer_views(&self) -> Vec<PeerView> {
+        let view = |p: &PeerRow| {
+            Some(PeerView {
+                node: p.node.clone()?,
+                listed: true,
+                leaving: p.leaving || p.draining,
+                heartbeat: p.heard,
+                counter: p.counter,
+                level: p.level,
+            })
+        };
+        self.peers.values().filter_map(view).collect()
+    }
+}
+
+fn pools(endpoints: &[EndpointRow]) -> BTreeMap<Arc<str>, Pool> {
+    let mut pools: BTreeMap<Arc<str>, Pool> = BTreeMap::new();
+    for (i, e) in endpoints.iter().enumerate() {
+        pools.entry(e.pool.clone()).or_default().members.push(i);
+    }
+    for pool in pools.values_mut() {
+        let names: Vec<Endpoint> =
+            pool.members.iter().map(|i| endpoints[*i].name.clone()).collect();
+        pool.ring = Ring::new(&names);
+    }
+    pools
+}
--- /dev/null
+++ b/src/grant.rs
@@ -0,0 +1,356 @@
+//! Permits: what the owner of an endpoint decides and reports.
+
+use crate::core::{Core, EndpointOrder, Out, WEIGHTS};
+use crate::fleet::vm_name;
+use crate::generated::peer::{self, frame::Body};
+use crate::ids::{AttemptId, Endpoint, Node, Team};
+use crate::owned::JobRow;
+use crate::owner::Order;
+use crate::quarantine::QuarantineOut;
+use crate::queue::Job;
+use crate::quota::{LoanAsk, Peers, Quota, Reservation, Take};
+use crate::sched::{LoadGate, SchedOut};
+use crate::time::Ms;
+use crate::wire;
+
+/// Time from the grant within which the attempt must be sent.
+pub(crate) const PERMIT_VALID: Ms = Ms(1500);
+/// Time for which a crash is repeated in heartbeats.
+const CRASH_LIFE: Ms = Ms::secs(60);
+
+/// How an attempt ended, as its entry node reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// The answer is complete.
+    Ended,
+    /// The endpoint refused the request without running it.
+    Refused,
+    /// Nothing was sent.
+    Unsent,
+    /// The connection was lost or given up.
+    Broken,
+    /// The caller went away and the attempt was cancelled.
+    Cancelled,
+}
+
+impl Outcome {
+    /// Number on the wire.
+    pub(crate) const fn to_wire(self) -> u32 {
+        self as u32
+    }
+
+    /// The outcome with this number; unknown numbers count as `Broken`.
+    pub(crate) const fn from_wire(n: u32) -> Self {
+        match n {
+            0 => Self::Ended,
+            1 => Self::Refused,
+            2 => Self::Unsent,
+            4 => Self::Cancelled,
+            _ => Self::Broken,
+        }
+    }
+}
+
+/// A refusal in its wire form.
+pub(crate) fn refusal(
+    attempt: AttemptId,
+    endpoint: &Endpoint,
+    reason: &str,
+    after: Ms,
+) -> peer::PermitReply {
+    peer::PermitReply {
+        attempt: wire::attempt_bytes(attempt),
+        granted: false,
+        endpoint: endpoint.to_string(),
+        reason: reason.to_owned(),
+        retry_after: after.0,
+        ..peer::PermitReply::default()
+    }
+}
+
+/// Takes load permits out of the weight store's quota.
+pub(crate) struct Gate<'a> {
+    quota: &'a mut Quota,
+    peers: &'a Peers,
+    permits: &'a mut Vec<Reservation>,
+    asks: Vec<(Node, LoanAsk)>,
+}
+
+impl<'a> Gate<'a> {
+    pub(crate) fn new(
+        quota: &'a mut Quota,
+        peers: &'a Peers,
+        permits: &'a mut Vec<Reservation>,
+    ) -> Self {
+        Self { quota, peers, permits, asks: Vec::new() }
+    }
+
+    /// Requests for loans that the shell must send.
+    pub(crate) fn into_asks(self) -> Vec<(Node, LoanAsk)> {
+        self.asks
+    }
+}
+
+impl LoadGate for Gate<'_> {
+    fn try_load(&mut self, now: Ms, _team: &Team) -> bool {
+        let weights = Team::new(WEIGHTS);
+        match self.quota.take(now, &weights, 1) {
+            Take::Granted(reservation) => {
+                self.permits.push(reservation);
+                true
+            }
+            Take::Borrow => {
+                self.asks.extend(self.quota.asks(now, &weights, 1, self.peers));
+                false
+            }
+            Take::Refused { .. } => false,
+        }
+    }
+
+    fn give_back(&mut self, now: Ms, _team: &Team) {
+        if let Some(reservation) = self.permits.pop() {
+            self.quota.settle(now, reservation, 0);
+        }
+    }
+}
+
+impl Core {
+    /// Handles a request for a permit from an entry node, or from this node itself.
+    pub(crate) fn on_permit_request(
+        &mut self,
+        now: Ms,
+        from: &Node,
+        req: &peer::PermitRequest,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(attempt) = wire::attempt(&req.attempt) else { return };
+        let endpoint = Endpoint::new(&req.endpoint);
+        if let Err((reason, after)) = self.check_request(now, &endpoint, req) {
+            let reply = refusal(attempt, &endpoint, reason, after);
+            return self.reply(from, attempt, reply, out);
+        }
+        let order = order_of(req);
+        let job = Job {
+            attempt,
+            team: Team::new(&req.team),
+            adapter: wire::adapter(&req.adapter, &req.version),
+            kind: u8::try_from(req.kind).unwrap_or(u8::MAX),
+            tokens: req.tokens,
+            deadline: now + Ms(req.deadline),
+            fingerprint: req.fingerprint,
+            arrived: now,
+        };
+        let row = JobRow {
+            entry: from.clone(),
+            arrived: now,
+            fingerprint: req.fingerprint,
+            order,
+            granted: false,
+        };
+        self.with_owned(now, &endpoint, out, |owned, outs| owned.submit(now, job, row, outs));
+    }
+
+    fn check_request(
+        &self,
+        now: Ms,
+        endpoint: &Endpoint,
+        req: &peer::PermitRequest,
+    ) -> Result<(), (&'static str, Ms)> {
+        if !self.owned.contains_key(endpoint) {
+            return Err(("not_owner", Ms(50)));
+        }
+        if self.order_fence(now, endpoint, order_of(req)).is_none() {
+            return Err(("no_authority", Ms(500)));
+        }
+        match self.quarantine.is_quarantined(now, req.fingerprint) {
+            Some(entry) => Err(("quarantined", entry.expiry.since(now))),
+            None => Ok(()),
+        }
+    }
+
+    /// Handles the reported end of an attempt.
+    pub(crate) fn on_permit_end(&mut self, now: Ms, end: &peer::PermitEnd, out: &mut Vec<Out>) {
+        let Some(attempt) = wire::attempt(&end.attempt) else { return };
+        let outcome = Outcome::from_wire(end.outcome);
+        let found = self.owned.iter().find(|(_, o)| o.jobs.contains_key(&attempt));
+        let Some(endpoint) = found.map(|(name, _)| name.clone()) else { return };
+        let mut row = None;
+        self.with_owned(now, &endpoint, out, |owned, outs| {
+            row = owned.end(now, attempt, end.tokens, outcome == Outcome::Broken, outs);
+        });
+        if let Some(row) = row
+            && outcome == Outcome::Ended
+            && let Some(QuarantineOut::Clear(fp)) = self.quarantine.on_end(row.fingerprint)
+        {
+            self.cleared.push((now, fp));
+            self.clear_suspect(fp);
+        }
+    }
+
+    /// Withdraws a request for a permit that has not been answered.
+    pub(crate) fn on_permit_cancel(&mut self, now: Ms, cancel: &peer::PermitCancel) {
+        let Some(attempt) = wire::attempt(&cancel.attempt) else { return };
+        for owned in self.owned.values_mut() {
+            owned.cancel(now, attempt);
+        }
+    }
+
+    /// Turns the scheduler's outputs into replies and orders.
+    pub(crate) fn absorb_sched(
+        &mut self,
+        now: Ms,
+        endpoint: &Endpoint,
+        outs: Vec<SchedOut>,
+        out: &mut Vec<Out>,
+    ) {
+        for o in outs {
+            match o {
+                SchedOut::Grant { attempt } => self.grant(now, endpoint, attempt, out),
+                SchedOut::Refuse { attempt, reason, retry_after } => {
+                    let row = self.owned.get_mut(endpoint).and_then(|o| o.jobs.remove(&attempt));
+                    if let Some(row) = row {
+                        let reply = refusal(attempt, endpoint, reason.as_str(), retry_after);
+                        self.reply(&row.entry, attempt, reply, out);
+                    }
+                }
+                SchedOut::Load { adapter } => {
+                    let epoch = self.owned.get(endpoint).map_or(0, |o| o.sched.epoch());
+                    let endpoint = endpoint.clone();
+                    out.push(Out::Load(EndpointOrder { endpoint, adapter, epoch }));
+                }
+                SchedOut::Evict { adapter } => {
+                    let epoch = self.owned.get(endpoint).map_or(0, |o| o.sched.epoch());
+                    let endpoint = endpoint.clone();
+                    out.push(Out::Evict(EndpointOrder { endpoint, adapter, epoch }));
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, now: Ms, endpoint: &Endpoint, attempt: AttemptId, out: &mut Vec<Out>) {
+        let Some(row) = self.owned.get(endpoint).and_then(|o| o.jobs.get(&attempt)) else { return };
+        let (entry, order, arrived) = (row.entry.clone(), row.order, row.arrived);
+        // Authority may have lapsed while the job was queued.
+        let Some(fence) = self.order_fence(now, endpoint, order) else {
+            self.with_owned(now, endpoint, out, |owned, outs| {
+                owned.end(now, attempt, 0, false, outs);
+            });
+            let reply = refusal(attempt, endpoint, "no_authority", Ms(500));
+            return self.reply(&entry, attempt, reply, out);
+        };
+        if let Some(row) = self.owned.get_mut(endpoint).and_then(|o| o.jobs.get_mut(&attempt)) {
+            row.granted = true;
+        }
+        let reply = peer::PermitReply {
+            attempt: wire::attempt_bytes(attempt),
+            granted: true,
+            endpoint: endpoint.to_string(),
+            fence,
+            valid: PERMIT_VALID.0,
+            held: now.since(arrived).0,
+            ..peer::PermitReply::default()
+        };
+        self.reply(&entry, attempt, reply, out);
+    }
+
+    /// Sends a reply to the entry node, which may be this node.
+    pub(crate) fn reply(
+        &self,
+        entry: &Node,
+        attempt: AttemptId,
+        reply: peer::PermitReply,
+        out: &mut Vec<Out>,
+    ) {
+        match *entry == self.me {
+            true => out.push(Out::Reply(attempt, reply)),
+            false => {
+                out.push(Out::Send(vm_name(entry).to_owned(), Body::PermitReply(reply)));
+            }
+        }
+    }
+
+    /// Records a finished load.
+    pub(crate) fn on_loaded(
+        &mut self,
+        now: Ms,
+        order: &EndpointOrder,
+        done: bool,
+        out: &mut Vec<Out>,
+    ) {
+        if let Some(reservation) = self.load_permits.pop() {
+            self.quota.settle(now, reservation, 1);
+        }
+        self.with_owned(now, &order.endpoint, out, |owned, outs| match done {
+            true => owned.sched.on_loaded(now, &order.adapter, order.epoch, outs),
+            false => owned.sched.on_load_failed(now, &order.adapter, order.epoch, outs),
+        });
+    }
+
+    /// Records a finished eviction.
+    pub(crate) fn on_evicted(
+        &mut self,
+        now: Ms,
+        order: &EndpointOrder,
+        done: bool,
+        out: &mut Vec<Out>,
+    ) {
+        self.with_owned(now, &order.endpoint, out, |owned, outs| {
+            owned.sched.on_evicted(now, &order.adapter, order.epoch, done, outs);
+        });
+    }
+
+    /// Counts a crash once, however often heartbeats repeat it.
+    pub(crate) fn count_crash(&mut self, now: Ms, crash: peer::Crash, out: &mut Vec<Out>) {
+        let key = (crash.endpoint.clone(), crash.incarnation.clone());
+        if !self.counted.insert(key) {
+            return;
+        }
+        log::warn!(
+            "endpoint {} crashed; {} requests were in flight",
+            crash.endpoint,
+            crash.flight.len()
+        );
+        let outs = self.quarantine.on_crash(now, &crash.flight);
+        self.crashes.retain(|(at, _)| now.since(*at) < CRASH_LIFE);
+        self.crashes.push((now, crash));
+        for o in outs {
+            match o {
+                QuarantineOut::Suspect(fp) => {
+                    for owned in self.owned.values_mut() {
+                        owned.sched.set_suspect(fp, true);
+                    }
+                }
+                QuarantineOut::Clear(fp) => self.clear_suspect(fp),
+                QuarantineOut::Quarantine(entry) => {
+                    log::warn!(
+                        "fingerprint {:016x} quarantined: {}",
+                        entry.fingerprint,
+                        entry.reason
+                    );
+                    self.refuse_quarantined(now, entry.fingerprint, entry.expiry.since(now), out);
+                }
+            }
+        }
+    }
+
+    /// Refuses the queued jobs of a quarantined fingerprint.
+    pub(crate) fn refuse_quarantined(&mut self, now: Ms, fp: u64, left: Ms, out: &mut Vec<Out>) {
+        let names: Vec<Endpoint> = self.owned.keys().cloned().collect();
+        for name in names {
+            self.with_owned(now, &name, out, |owned, outs| owned.sched.quarantine(fp, left, outs));
+        }
+    }
+
+    pub(crate) fn clear_suspect(&mut self, fp: u64) {
+        for owned in self.owned.values_mut() {
+            owned.sched.set_suspect(fp, false);
+        }
+    }
+}
+
+fn order_of(req: &peer::PermitRequest) -> Order {
+    match req.repeatable {
+        true => Order::Infer,
+        false => Order::NonIdempotent,
+    }
+}
--- /dev/null
+++ b/src/keyed.rs
@@ -0,0 +1,206 @@
+//! The shell's side of idempotency claims: commits, reads and status queries.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::claim::{Answer, Call, ClaimOut, Opened, Outcome, Status, Ticket};
+use crate::error::Error;
+use crate::ids::{AttemptId, Endpoint, Node};
+use crate::lease::NodeState;
+use crate::platform::{Commit, Table, Txn};
+use crate::service::Service;
+use crate::shell::{Ports, Shell};
+use crate::time::Ms;
+
+/// Time after which an unanswered commit counts as unknown.
+const COMMIT_WITHIN: Ms = Ms(1000);
+
+/// Event of the claim module for one waiting call.
+#[derive(Debug)]
+pub(crate) enum ClaimEvent {
+    /// The claim is committed.
+    Proceed,
+    /// The call has ended before.
+    Replay(Answer),
+    /// The key was used with another body.
+    Conflict,
+    /// The outcome of the first call is unknown.
+    Unknown(AttemptId),
+    /// Nothing was sent within the deadline.
+    NotRun,
+}
+
+/// Result of opening a keyed call.
+pub(crate) enum Keyed {
+    /// The claim is under way; the event says how it ends.
+    Pending(Ticket, oneshot::Receiver<ClaimEvent>),
+    /// Decided without the table service.
+    Decided(ClaimEvent),
+    /// Too many keyed calls wait.
+    Full,
+}
+
+impl<P: Ports> Shell<P> {
+    /// Opens a keyed call.
+    pub(crate) fn open_claim(self: &Arc<Self>, call: Call) -> Keyed {
+        let now = self.now();
+        let keyed = {
+            let mut claims = self.claims.lock().unwrap();
+            match claims.open(now, call) {
+                // The waiter is registered before any event can be delivered.
+                Opened::Queued(ticket) | Opened::Wait(ticket) => {
+                    let (tx, rx) = oneshot::channel();
+                    self.tickets.lock().unwrap().insert(ticket, tx);
+                    Keyed::Pending(ticket, rx)
+                }
+                Opened::Replay(answer) => Keyed::Decided(ClaimEvent::Replay(answer)),
+                Opened::Conflict => Keyed::Decided(ClaimEvent::Conflict),
+                Opened::Unknown { attempt, .. } => Keyed::Decided(ClaimEvent::Unknown(attempt)),
+                Opened::Full => Keyed::Full,
+            }
+        };
+        self.pump_claims();
+        keyed
+    }
+
+    /// Reports how an attempt that was allowed to proceed ended.
+    pub(crate) fn finish_claim(self: &Arc<Self>, ticket: Ticket, outcome: Outcome) {
+        let now = self.now();
+        let result = self.claims.lock().unwrap().finish(now, ticket, outcome);
+        if let Err(e) = result {
+            log::error!("invariant violated: {e}");
+            self.metrics.faults(1, "claim");
+        }
+        self.pump_claims();
+    }
+
+    /// Performs what the claim module wants next.
+    pub(crate) fn pump_claims(self: &Arc<Self>) {
+        let now = self.now();
+        let (events, batches) = {
+            let mut claims = self.claims.lock().unwrap();
+            let events = claims.poll(now);
+            let batches: Vec<_> = std::iter::from_fn(|| claims.next_batch(now)).collect();
+            (events, batches)
+        };
+        for batch in batches {
+            let shell = self.clone();
+            tokio::spawn(async move {
+                let result = shell.commit_within(&batch.txn).await;
+                let now = shell.now();
+                shell.claims.lock().unwrap().on_commit(now, batch.id, result);
+                shell.pump_claims();
+            });
+        }
+        for event in events {
+            self.on_claim(event);
+        }
+    }
+
+    async fn commit_within(&self, txn: &Txn) -> crate::error::Result<Commit> {
+        match timeout(COMMIT_WITHIN.std(), self.ports.table().commit(txn)).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::io("table", "no answer in time")),
+        }
+    }
+
+    fn on_claim(self: &Arc<Self>, event: ClaimOut) {
+        match event {
+            ClaimOut::Proceed(ticket) => self.claim_event(ticket, ClaimEvent::Proceed),
+            ClaimOut::Replay(ticket, answer) => {
+                self.claim_event(ticket, ClaimEvent::Replay(answer));
+            }
+            ClaimOut::Conflict(ticket) => self.claim_event(ticket, ClaimEvent::Conflict),
+            ClaimOut::Unknown { ticket, attempt, .. } => {
+                self.claim_event(ticket, ClaimEvent::Unknown(attempt));
+            }
+            ClaimOut::NotRun(ticket, _) => self.claim_event(ticket, ClaimEvent::NotRun),
+            ClaimOut::Wait(_, node) => drop(self.watched.lock().unwrap().insert(node)),
+            ClaimOut::Read { keys } => drop(tokio::spawn(self.clone().read_claims(keys))),
+            ClaimOut::Query { key, attempt, endpoint } => {
+                drop(tokio::spawn(self.clone().query_attempt(key, attempt, endpoint)));
+            }
+        }
+    }
+
+    fn claim_event(self: &Arc<Self>, ticket: Ticket, event: ClaimEvent) {
+        let waiter = self.tickets.lock().unwrap().remove(&ticket);
+        let proceed = matches!(event, ClaimEvent::Proceed);
+        let unused = waiter.is_none_or(|tx| tx.send(event).is_err());
+        // A caller that went away before its claim was decided leaves a granted
+        // claim behind; nothing was sent for it.
+        if unused && proceed {
+            self.finish_claim(ticket, Outcome::NotRun);
+        }
+    }
+
+    async fn read_claims(self: Arc<Self>, keys: Vec<String>) {
+        let mut rows = Ok(Vec::new());
+        for key in &keys {
+            match self.ports.table().get(key).await {
+                Ok(row) => {
+                    if let Ok(rows) = &mut rows {
+                        rows.extend(row);
+                    }
+                }
+                Err(e) => {
+                    rows = Err(e);
+                    break;
+                }
+            }
+        }
+        let now = self.now();
+        self.claims.lock().unwrap().on_rows(now, &keys, rows);
+        self.pump_claims();
+    }
+
+    /// Asks the endpoint what became of an attempt of a node that is gone.
+    async fn query_attempt(self: Arc<Self>, key: String, attempt: AttemptId, endpoint: Endpoint) {
+        let path = self.status_path(&endpoint);
+        let status = match (self.service(&endpoint), path) {
+            (Some(service), Some(path)) => match service.status(&path, attempt).await {
+                Ok(Some(found)) => Status::Ended(Answer {
+                    status: found.status,
+                    headers: vec![("content-type".to_owned(), found.content)],
+                    body: found.body,
+                    cut: false,
+                }),
+                // Not known there is no proof: the call may still be on its way.
+                Ok(None) => Status::Unclear,
+                Err(Error::State(..)) => Status::Running,
+                Err(_) => Status::Unclear,
+            },
+            _ => Status::Unclear,
+        };
+        let now = self.now();
+        self.claims.lock().unwrap().on_status(now, &key, status);
+        self.pump_claims();
+    }
+
+    fn status_path(&self, endpoint: &Endpoint) -> Option<String> {
+        let pool = self.core.lock().unwrap().fleet.endpoint(endpoint).map(|e| e.pool.clone())?;
+        let config = self.config.borrow().clone()?;
+        let route = config.routes().iter().find(|r| r.pool == pool && r.status.is_some())?;
+        route.status.as_deref().map(str::to_owned)
+    }
+
+    /// Reports watched nodes that have lost their authority to the claim module.
+    pub(crate) fn check_watched(self: &Arc<Self>) {
+        let watched: Vec<Node> = self.watched.lock().unwrap().iter().cloned().collect();
+        let gone: Vec<Node> = {
+            let core = self.core.lock().unwrap();
+            let nodes = &core.authority.nodes;
+            let ended = |n: &&Node| {
+                nodes.get(*n).is_none_or(|k| k.row.state == NodeState::Gone) && **n != core.me
+            };
+            watched.iter().filter(ended).cloned().collect()
+        };
+        let now = self.now();
+        for node in gone {
+            self.watched.lock().unwrap().remove(&node);
+            self.claims.lock().unwrap().node_gone(now, &node);
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,13 +3,14 @@
 use std::io::{stderr, stdout};
 use std::process::ExitCode;
 
-use sycamorefork::cli::{Unconnected, World, run};
+use sycamorefork::cli::{World, run};
 use sycamorefork::keys::Secret;
+use sycamorefork::ports::HttpPlatform;
 use sycamorefork::time::wall_clock;
 
 fn main() -> ExitCode {
     let mut world = World {
-        connect: Unconnected,
+        connect: HttpPlatform,
         rng: rand::rng(),
         now: wall_clock(),
         user: std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned()),
--- /dev/null
+++ b/src/openai.rs
@@ -0,0 +1,131 @@
+//! The callers' request and error bodies.
+//!
+//! Only the members that a decision needs are interpreted; all others pass to
+//! the engine unchanged, so that clients may use what their engine offers.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map as Object, Value};
+
+/// Output tokens that are reserved when the caller names no maximum.
+pub(crate) const DEFAULT_OUTPUT: u64 = 512;
+/// Bytes of a prompt per token, rounded down so that the reservation is rarely short.
+const TOKEN_BYTES: u64 = 3;
+
+/// A parsed completion request.
+#[derive(Clone, Debug)]
+pub(crate) struct Completion {
+    /// Model as the caller named it.
+    pub(crate) model: String,
+    /// Whether the caller wants a stream.
+    pub(crate) stream: bool,
+    /// Whether the caller wants usage in the stream.
+    pub(crate) usage: bool,
+    /// Prompt plus maximum output, in tokens.
+    pub(crate) tokens: u64,
+    body: Object<String, Value>,
+}
+
+impl Completion {
+    /// Parses a body; `chat` selects `messages` over `prompt`.
+    ///
+    /// # Errors
+    /// Returns a sentence for the caller when a member is missing or malformed.
+    pub(crate) fn parse(bytes: &[u8], chat: bool) -> Result<Self, String> {
+        let value: Value = serde_json::from_slice(bytes)
+            .map_err(|e| format!("the body is not valid JSON: {e}"))?;
+        let Value::Object(body) = value else {
+            return Err("the body must be a JSON object".to_owned());
+        };
+        let model = match body.get("model") {
+            Some(Value::String(model)) if !model.is_empty() => model.clone(),
+            _ => return Err("`model` must be a non-empty string".to_owned()),
+        };
+        let stream = flag(body.get("stream"), "stream")?;
+        let options = body.get("stream_options").and_then(|o| o.get("include_usage"));
+        let usage = flag(options, "stream_options.include_usage")?;
+        let input = if chat { "messages" } else { "prompt" };
+        let prompt = match body.get(input) {
+            Some(value @ Value::Array(items)) if !items.is_empty() => value.to_string().len(),
+            Some(Value::String(text)) if !chat => text.len(),
+            _ => return Err(format!("`{input}` is missing or has the wrong type")),
+        };
+        let output = match body.get("max_completion_tokens").or_else(|| body.get("max_tokens")) {
+            None | Some(Value::Null) => DEFAULT_OUTPUT,
+            Some(n) => n
+                .as_u64()
+                .filter(|n| *n > 0 && *n <= u64::from(u32::MAX))
+                .ok_or("`max_tokens` must be a positive integer")?,
+        };
+        let tokens = (prompt as u64).div_ceil(TOKEN_BYTES) + output;
+        Ok(Self { model, stream, usage, tokens, body })
+    }
+
+    /// The body for the engine, which always streams and always reports usage.
+    pub(crate) fn engine_body(&self, model: &str, kind: u8) -> Bytes {
+        let mut body = self.body.clone();
+        body.insert("model".to_owned(), model.into());
+        body.insert("priority".to_owned(), kind.into());
+        if self.stream {
+            body.insert("stream_options".to_owned(), serde_json::json!({"include_usage": true}));
+        }
+        if !body.contains_key("max_tokens") && !body.contains_key("max_completion_tokens") {
+            body.insert("max_tokens".to_owned(), DEFAULT_OUTPUT.into());
+        }
+        Bytes::from(serde_json::to_vec(&body).expect("a JSON value serialises"))
+    }
+}
+
+fn flag(value: Option<&Value>, name: &str) -> Result<bool, String> {
+    match value {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(b)) => Ok(*b),
+        Some(_) => Err(format!("`{name}` must be true or false")),
+    }
+}
+
+/// The members of a chunk that the gateway looks at.
+#[derive(Debug, Deserialize)]
+pub(crate) struct ChunkView {
+    /// Choices; empty in the chunk that only carries usage.
+    #[serde(default)]
+    pub(crate) choices: Vec<serde::de::IgnoredAny>,
+}
+
+/// One entry of `GET /v1/models`.
+#[derive(Debug, Serialize)]
+pub(crate) struct ModelEntry {
+    /// Name for the `model` member.
+    pub(crate) id: String,
+    /// Always `model`.
+    pub(crate) object: &'static str,
+    /// Seconds since the epoch; 0, since the document holds no dates.
+    pub(crate) created: u64,
+    /// Owning team, or `open`.
+    pub(crate) owned_by: String,
+}
+
+/// Body of a refusal.
+#[derive(Debug, Serialize)]
+pub(crate) struct ErrorBody<'a> {
+    /// The refusal.
+    pub(crate) error: ErrorView<'a>,
+}
+
+/// A refusal in the shape that clients of the interface expect.
+#[derive(Debug, Serialize)]
+pub(crate) struct ErrorView<'a> {
+    /// Class of the error.
+    #[serde(rename = "type")]
+    pub(crate) class: &'a str,
+    /// Stable code.
+    pub(crate) code: &'a str,
+    /// Sentence for people.
+    pub(crate) message: &'a str,
+    /// Identifier of the record that `sycamorefork refusals` shows.
+    pub(crate) refusal_id: &'a str,
+    /// `no` or `unknown`.
+    pub(crate) ran: &'a str,
+    /// Machine-readable reason.
+    pub(crate) reason: &'a str,
+}
--- /dev/null
+++ b/src/permit.rs
@@ -0,0 +1,278 @@
+//! What a request takes and gives back: tokens of its team's rate and permits.
+//!
+//! Guards return both when they are dropped, so that a request whose caller goes
+//! away leaves nothing behind.
+
+use std::sync::Arc;
+
+use tokio::time::{sleep, timeout};
+
+use crate::attempt::{AttemptState, Backoff, Step, may_retry};
+use crate::denial::{Denial, Reason};
+use crate::entry::{Admission, Demand, HeldPermit};
+use crate::grant::Outcome;
+use crate::ids::{AttemptId, Endpoint, Node, Team};
+use crate::quota::Reservation;
+use crate::shell::{Ports, Shell};
+use crate::time::Ms;
+
+/// First delay before a retry.
+pub(crate) const BACKOFF: Ms = Ms(20);
+/// Longest delay before a retry.
+pub(crate) const BACKOFF_MAX: Ms = Ms(500);
+/// Wait for loans before the quota is asked again.
+const LOAN_WAIT: Ms = Ms(25);
+/// Time for which a request waits for an endpoint with an owner.
+///
+/// A takeover lasts at most 5 s; a refusal during one would be a wrongful one.
+const TAKEOVER: Ms = Ms::secs(8);
+/// Pause between two looks at the table of endpoints.
+const ROUTE_PAUSE: Ms = Ms(50);
+
+/// An attempt's permit; reports the end of the attempt when it is dropped.
+pub(crate) struct Permit<P: Ports> {
+    shell: Arc<Shell<P>>,
+    /// The attempt that it allows.
+    pub(crate) attempt: AttemptId,
+    /// Where it may run.
+    pub(crate) endpoint: Endpoint,
+    owner: Node,
+    /// Fence that the request carries.
+    pub(crate) fence: u64,
+    until: Ms,
+    /// State of the attempt.
+    pub(crate) state: AttemptState,
+    /// Tokens served so far.
+    pub(crate) tokens: u64,
+}
+
+impl<P: Ports> Permit<P> {
+    /// Applies a step; an illegal one is logged as a violated invariant.
+    pub(crate) fn step(&mut self, step: Step) {
+        if let Err(e) = self.state.apply(step) {
+            log::error!("invariant violated: {e}");
+            self.shell.metrics.faults(1, "attempt");
+        }
+    }
+
+    /// Marks the attempt as sent, unless the permit has expired.
+    pub(crate) fn send(&mut self) -> bool {
+        let valid = self.shell.now() < self.until;
+        self.step(if valid { Step::Send } else { Step::Drop });
+        valid
+    }
+}
+
+impl<P: Ports> Drop for Permit<P> {
+    fn drop(&mut self) {
+        let outcome = match self.state {
+            AttemptState::Unsent => Outcome::Unsent,
+            AttemptState::Ended { ran: true } => Outcome::Ended,
+            AttemptState::Ended { ran: false } => Outcome::Refused,
+            AttemptState::Sent | AttemptState::Running => Outcome::Cancelled,
+            AttemptState::Unknown => Outcome::Broken,
+        };
+        let (attempt, tokens) = (self.attempt, self.tokens);
+        self.shell.with_core(|core, now, out| {
+            core.end_permit(now, attempt, &self.owner, outcome, tokens, out);
+        });
+    }
+}
+
+/// Reserved tokens; what was not used returns to the quota on drop.
+pub(crate) struct Stock<P: Ports> {
+    shell: Arc<Shell<P>>,
+    reservation: Option<Reservation>,
+    /// Tokens used so far.
+    pub(crate) used: u64,
+}
+
+impl<P: Ports> Drop for Stock<P> {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            let used = self.used;
+            self.shell.metrics.tokens(used, reservation.team().as_str());
+            self.shell.with_core(|core, now, _| core.quota.settle(now, reservation, used));
+        }
+    }
+}
+
+/// Withdraws a request for a permit that is no longer wanted.
+struct Waiting<'a, P: Ports> {
+    shell: &'a Arc<Shell<P>>,
+    attempt: AttemptId,
+    owner: Node,
+    answered: bool,
+}
+
+impl<P: Ports> Drop for Waiting<'_, P> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.shell.forget_permit(self.attempt);
+            self.shell.with_core(|core, now, out| {
+                core.cancel_permit(now, self.attempt, &self.owner, out);
+            });
+        }
+    }
+}
+
+impl<P: Ports> Shell<P> {
+    /// Reserves tokens of the team's rate, waiting for loans of peers if need be.
+    ///
+    /// # Errors
+    /// Refuses when the team's rate and burst are used up in the whole cell.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        team: &Team,
+        tokens: u64,
+        deadline: Ms,
+    ) -> Result<Stock<P>, Denial> {
+        loop {
+            let loan = self.loans.notified();
+            match self.with_core(|core, now, out| core.admit(now, team, tokens, out)) {
+                Admission::Granted(reservation) => {
+                    let shell = self.clone();
+                    return Ok(Stock { shell, reservation: Some(reservation), used: 0 });
+                }
+                Admission::Denied(denial) => return Err(*denial),
+                Admission::Wait if self.now() >= deadline => {
+                    return Err(Denial::new(Reason::Deadline, "the deadline passed"));
+                }
+                Admission::Wait => {
+                    let _ = timeout(LOAN_WAIT.std(), loan).await;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn check_fingerprint(&self, fp: u64) -> Result<(), Denial> {
+        let now = self.now();
+        let core = self.core.lock().unwrap();
+        match core.quarantine.is_quarantined(now, fp) {
+            None => Ok(()),
+            Some(entry) => {
+                let message = format!("this request is quarantined: {}", entry.reason);
+                Err(Denial::new(Reason::Quarantined, message)
+                    .fact("fingerprint", format!("{fp:016x}"))
+                    .retry_after(entry.expiry.since(now)))
+            }
+        }
+    }
+
+    /// Chooses an endpoint, waiting through a takeover.
+    pub(crate) async fn route(
+        self: &Arc<Self>,
+        demand: &Demand,
+        excluded: &mut Vec<Endpoint>,
+    ) -> Result<(Endpoint, Node), Denial> {
+        let patience = demand.deadline.min(self.now() + TAKEOVER);
+        loop {
+            match self.with_core(|core, now, _| core.route(now, demand, excluded)) {
+                Ok(found) => return Ok(found),
+                Err(denial) if self.now() >= patience => return Err(denial),
+                // Every endpoint has failed once; all may be tried again.
+                Err(_) => excluded.clear(),
+            }
+            sleep(ROUTE_PAUSE.std()).await;
+        }
+    }
+
+    /// Asks one endpoint's owner for a permit.
+    pub(crate) async fn permit(
+        self: &Arc<Self>,
+        demand: &Demand,
+        attempt: AttemptId,
+        endpoint: &Endpoint,
+        owner: &Node,
+    ) -> Result<Permit<P>, Refusal> {
+        let sent = self.now();
+        let rx = self.wait_permit(attempt);
+        let mut waiting = Waiting { shell: self, attempt, owner: owner.clone(), answered: false };
+        self.with_core(|core, now, out| {
+            core.ask_permit(now, attempt, demand, endpoint, owner, out);
+        });
+        let limit = demand.deadline.since(sent).std();
+        let lost = Refusal { reason: "no_answer".to_owned(), after: Ms(0) };
+        let reply = tokio::select! {
+            reply = timeout(limit, rx) => match reply {
+                Ok(Ok(reply)) => reply,
+                _ => return Err(lost),
+            },
+            () = self.owner_changed(endpoint, owner) => return Err(lost),
+        };
+        waiting.answered = true;
+        if !reply.granted {
+            return Err(Refusal { reason: reply.reason, after: Ms(reply.retry_after) });
+        }
+        // Counted from before the request left, so that delays of the network
+        // shorten the permit and never lengthen it.
+        let until = sent + Ms(reply.held) + Ms(reply.valid);
+        let held = HeldPermit { endpoint: endpoint.clone(), adapter: demand.adapter.clone() };
+        self.with_core(|core, _, _| core.hold(attempt, held));
+        Ok(Permit {
+            shell: self.clone(),
+            attempt,
+            endpoint: endpoint.clone(),
+            owner: owner.clone(),
+            fence: reply.fence,
+            until,
+            state: AttemptState::Unsent,
+            tokens: 0,
+        })
+    }
+
+    /// Returns when the endpoint has another owner or its owner is silent.
+    async fn owner_changed(&self, endpoint: &Endpoint, owner: &Node) {
+        loop {
+            sleep(ROUTE_PAUSE.std()).await;
+            let now = self.now();
+            let core = self.core.lock().unwrap();
+            let present = core.fleet.endpoint(endpoint).and_then(|e| e.live_owner(now));
+            if present != Some(owner) {
+                return;
+            }
+        }
+    }
+
+    /// The next delay before a retry.
+    pub(crate) fn pause(&self, backoff: &mut Backoff) -> Ms {
+        backoff.next(&mut *self.rng.lock().unwrap())
+    }
+
+    /// Takes one retry out of the node's budget.
+    pub(crate) fn may_retry(&self, state: &AttemptState, repeatable: bool, deadline: Ms) -> bool {
+        let now = self.now();
+        may_retry(now, state, repeatable, &mut self.retries.lock().unwrap(), deadline)
+    }
+}
+
+/// Why an owner gave no permit.
+pub(crate) struct Refusal {
+    reason: String,
+    after: Ms,
+}
+
+impl Refusal {
+    /// Whether another endpoint, or the same one a little later, may grant it.
+    pub(crate) fn passing(&self) -> bool {
+        !matches!(self.reason.as_str(), "quarantined" | "deadline_expired")
+    }
+
+    /// What the caller is told.
+    pub(crate) fn denial(&self) -> Denial {
+        let (reason, message) = match self.reason.as_str() {
+            "deadline_infeasible" | "deadline_expired" => {
+                (Reason::Deadline, "the request would miss its deadline in the queue")
+            }
+            "queue_full" => (Reason::Overloaded, "the endpoint's queue is full"),
+            "load_failed" => (Reason::LoadFailed, "the adapter could not be loaded"),
+            "quarantined" => (Reason::Quarantined, "the request crashed endpoints before"),
+            "no_authority" => {
+                (Reason::NoAuthority, "the endpoint's owner has no authority at present")
+            }
+            _ => (Reason::NoEndpoint, "no endpoint can take the request at present"),
+        };
+        let denial = Denial::new(reason, message).fact("owner_reason", &self.reason);
+        denial.retry_after(self.after.max(Ms(100)))
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -374,7 +374,7 @@
                  unknown stays unknown",
                 x.name
             ),
-            "add `status = \"/path/{key}\"` if the service can tell whether a call took effect",
+            "add `status = \"/path\"` if the service can tell what became of an attempt",
         ),
         (true, Some(s)) => r.add(
             s.span().start,
@@ -382,11 +382,11 @@
             format_args!("route `{}` is idempotent, so its status query is never used", x.name),
             "remove `status`, or add `idempotent = false`",
         ),
-        (_, Some(s)) if !s.get_ref().starts_with('/') || !s.get_ref().contains("{key}") => r.add(
+        (_, Some(s)) if !s.get_ref().starts_with('/') || s.get_ref().contains(['{', '?']) => r.add(
             s.span().start,
             "E054",
-            "`status` must be a path that contains `{key}`",
-            "write for example `status = \"/status/{key}\"`",
+            "`status` must be a plain path",
+            "write for example `status = \"/attempts\"`; the attempt is appended",
         ),
         _ => {}
     }
--- /dev/null
+++ b/src/shell.rs
@@ -0,0 +1,584 @@
+//! The asynchronous shell of one node.
+//!
+//! Carries inputs to the core and performs its outputs. The core is locked only
+//! for the time of one decision and never across an await. An order to an
+//! endpoint asks the core for its fence after the last await before it is sent,
+//! so that a paused process discards what its lapsed lease no longer allows.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
+
+use crate::attempt::RetryBudget;
+use crate::burn::Burn;
+use crate::claim::{Claims, Ticket};
+use crate::config::{Config, RouteSpec};
+use crate::core::{Core, EndpointOrder, Out};
+use crate::denial::{Denial, Reason};
+use crate::engine::{Engine, OrderError};
+use crate::fleet::vm_name;
+use crate::generated::peer::{self, frame::Body};
+use crate::ids::{AttemptId, Endpoint, KeyId, Map, Node, RequestId, Set, Team};
+use crate::keyed::ClaimEvent;
+use crate::lease::Level;
+use crate::metrics::Metrics;
+use crate::operate;
+use crate::owner::{AuthorityOut, Order, Resource};
+use crate::peer::{Handler, Links, Reach};
+use crate::platform::{Objects, Table, VmList};
+use crate::refusal::{Ran, Recorder, Refusal};
+use crate::serve::Caller;
+use crate::service::Service;
+use crate::settings::{Limits, Role, Settings};
+use crate::takeover::ProbeResult;
+use crate::time::{Clock, Ms, wall_clock};
+use crate::wire;
+
+/// Retries per 100 first attempts.
+const RETRY_PERCENT: u64 = 10;
+/// Retries per second that are always allowed.
+const RETRY_MIN: u64 = 2;
+
+/// The outside systems of one node.
+pub(crate) trait Ports: Send + Sync + 'static {
+    /// Source of instants.
+    type Clock: Clock;
+    /// Table service.
+    type Table: Table;
+    /// Object store.
+    type Objects: Objects;
+    /// List of machines.
+    type Vms: VmList;
+    /// Model engines.
+    type Engine: Engine;
+    /// Plain services.
+    type Service: Service;
+
+    /// The clock.
+    fn clock(&self) -> &Self::Clock;
+    /// The table service.
+    fn table(&self) -> &Self::Table;
+    /// The object store.
+    fn objects(&self) -> &Self::Objects;
+    /// The list of machines.
+    fn vms(&self) -> &Self::Vms;
+    /// The engine at an address.
+    fn engine(&self, addr: SocketAddr) -> Self::Engine;
+    /// The service at an address.
+    fn service(&self, addr: SocketAddr) -> Self::Service;
+}
+
+/// One node.
+pub(crate) struct Shell<P: Ports> {
+    pub(crate) ports: P,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) me: Node,
+    pub(crate) core: Mutex<Core>,
+    pub(crate) claims: Mutex<Claims>,
+    pub(crate) recorder: Arc<Mutex<Recorder>>,
+    pub(crate) burn: Mutex<Burn>,
+    pub(crate) metrics: Metrics,
+    pub(crate) loans: Notify,
+    pub(crate) config: watch::Sender<Option<Arc<Config>>>,
+    pub(crate) running: AtomicUsize,
+    pub(crate) stop: watch::Sender<bool>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) rng: Mutex<SmallRng>,
+    draining: AtomicBool,
+    waiting: Mutex<Map<AttemptId, oneshot::Sender<peer::PermitReply>>>,
+    pub(crate) tickets: Mutex<Map<Ticket, oneshot::Sender<ClaimEvent>>>,
+    pub(crate) watched: Mutex<Set<Node>>,
+    links: OnceLock<Arc<Links<PeerHandler<P>>>>,
+}
+
+/// Times of one answer, for its service level.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Measured {
+    /// Arrival of the request.
+    pub(crate) begun: Ms,
+    /// First token, if the answer is a stream of tokens.
+    pub(crate) first: Option<Ms>,
+    /// End of the answer.
+    pub(crate) end: Ms,
+    /// Tokens of the answer.
+    pub(crate) tokens: u64,
+    /// Whether the caller got the whole answer.
+    pub(crate) answered: bool,
+}
+
+/// Counts a request while it runs.
+pub(crate) struct Running<P: Ports>(Arc<Shell<P>>);
+
+impl<P: Ports> Drop for Running<P> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl<P: Ports> Shell<P> {
+    /// A node that has not started any task.
+    pub(crate) fn new(ports: P, settings: Arc<Settings>, metrics: Metrics, seed: u64) -> Arc<Self> {
+        let me = Node::new(&format!("{}.{:08x}", settings.node, seed as u32));
+        let core = Core::new(me.clone(), settings.clone(), seed);
+        let claims =
+            Claims::new(me.clone(), crate::claim::Settings::default(), seed.rotate_left(17));
+        let recorder = Recorder::new(me.clone(), crate::refusal::Bounds::default());
+        Arc::new(Self {
+            core: Mutex::new(core),
+            claims: Mutex::new(claims),
+            recorder: Arc::new(Mutex::new(recorder)),
+            burn: Mutex::default(),
+            loans: Notify::new(),
+            config: watch::Sender::new(None),
+            running: AtomicUsize::new(0),
+            stop: watch::Sender::new(false),
+            retries: Mutex::new(RetryBudget::new(ports.clock().now(), RETRY_PERCENT, RETRY_MIN)),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed.rotate_left(31))),
+            draining: AtomicBool::new(false),
+            waiting: Mutex::default(),
+            tickets: Mutex::default(),
+            watched: Mutex::default(),
+            links: OnceLock::new(),
+            ports,
+            settings,
+            metrics,
+            me,
+        })
+    }
+
+    /// Makes the links; called once before anything is sent.
+    pub(crate) fn open_links(self: &Arc<Self>) -> Arc<Links<PeerHandler<P>>> {
+        let secret = self.settings.secret.expose().as_bytes();
+        let handler = PeerHandler(self.clone());
+        self.links.get_or_init(|| Links::new(self.me.clone(), secret, handler)).clone()
+    }
+
+    /// The current instant.
+    pub(crate) fn now(&self) -> Ms {
+        self.ports.clock().now()
+    }
+
+    /// The runtime's instant for one of the core's.
+    pub(crate) fn instant(&self, at: Ms) -> Instant {
+        Instant::now() + at.since(self.now()).std()
+    }
+
+    /// Returns when the key no longer works; never for a request without a key.
+    pub(crate) async fn withdrawn(&self, key: Option<KeyId>) -> Denial {
+        let Some(key) = key else { return std::future::pending().await };
+        let mut config = self.config.subscribe();
+        let ended = |c: &Option<Arc<Config>>| c.as_ref().is_some_and(|c| !c.key_works(&key));
+        if config.wait_for(ended).await.is_err() {
+            return std::future::pending().await;
+        }
+        self.metrics.cancelled(1, "withdrawn_key");
+        Denial::unknown(Reason::WithdrawnKey, "the key was withdrawn while the request ran")
+            .fact("key", key.as_str())
+    }
+
+    /// Counts an answer towards the service level of its route.
+    pub(crate) fn record_service(&self, team: &Team, route: &RouteSpec, answer: &Measured) {
+        self.metrics.answers(1, team.as_str(), route.name.as_str());
+        let Some(config) = self.config.borrow().clone() else { return };
+        let Some(level) = route.level.as_deref().and_then(|l| config.level(l)) else { return };
+        let first = answer.first.unwrap_or(answer.end);
+        let gap = answer.end.since(first).0 / answer.tokens.saturating_sub(1).max(1);
+        let good = answer.answered
+            && first.since(answer.begun) <= level.first
+            && (answer.tokens < 2 || Ms(gap) <= level.between);
+        let mut burn = self.burn.lock().unwrap();
+        burn.record(wall_clock(), team, &route.name, level.objective, route.weight, good);
+    }
+
+    /// Bounds on callers' input.
+    pub(crate) fn limits(&self) -> &Limits {
+        &self.settings.limits
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Result<Arc<Config>, Denial> {
+        self.config.borrow().clone().ok_or_else(|| {
+            Denial::new(Reason::NotReady, "no configuration is in force on this node")
+                .retry_after(Ms::secs(1))
+        })
+    }
+
+    /// Whether the node may admit requests.
+    pub(crate) fn ready(&self) -> Result<(), Denial> {
+        self.config()?;
+        if self.draining.load(Ordering::Acquire) {
+            let denial = Denial::new(Reason::Draining, "the node is shutting down");
+            return Err(denial.retry_after(Ms::secs(1)));
+        }
+        self.may_admit()
+    }
+
+    /// Whether the node has authority to admit; also holds while it drains.
+    pub(crate) fn may_admit(&self) -> Result<(), Denial> {
+        match self.core.lock().unwrap().authority.admits(self.now()) {
+            true => Ok(()),
+            false => {
+                let message = "the node reaches neither the table service nor a peer";
+                Err(Denial::new(Reason::NoAuthority, message).retry_after(Ms::secs(1)))
+            }
+        }
+    }
+
+    /// Whether a graceful shutdown has begun.
+    pub(crate) fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Begins a graceful shutdown: no longer ready, still serving.
+    pub(crate) fn start_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+        let now = self.now();
+        self.core.lock().unwrap().drain(now);
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> Running<P> {
+        self.running.fetch_add(1, Ordering::AcqRel);
+        Running(self.clone())
+    }
+
+    /// Runs a decision and performs its outputs.
+    pub(crate) fn with_core<T>(
+        self: &Arc<Self>,
+        decide: impl FnOnce(&mut Core, Ms, &mut Vec<Out>) -> T,
+    ) -> T {
+        let mut out = Vec::new();
+        let (result, faults) = {
+            let mut core = self.core.lock().unwrap();
+            let now = self.now();
+            let result = decide(&mut core, now, &mut out);
+            (result, std::mem::take(&mut core.faults))
+        };
+        for fault in faults {
+            log::error!("invariant violated: {fault}");
+            self.metrics.faults(1, "scheduler");
+        }
+        self.perform(out);
+        result
+    }
+
+    fn perform(self: &Arc<Self>, outs: Vec<Out>) {
+        for out in outs {
+            match out {
+                Out::Send(to, body) => self.send(&to, body),
+                Out::Authority(out) => self.perform_authority(out),
+                Out::Load(order) => drop(tokio::spawn(self.clone().load(order))),
+                Out::Evict(order) => drop(tokio::spawn(self.clone().evict(order))),
+                Out::Query(endpoint) => drop(tokio::spawn(self.clone().query(endpoint))),
+                Out::Reply(attempt, reply) => self.deliver(attempt, reply),
+                Out::Fetch(serial, digest) => {
+                    drop(tokio::spawn(self.clone().fetch_config(serial, digest)));
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: &str, body: Body) {
+        if let Some(links) = self.links.get()
+            && !links.send(to, body)
+        {
+            log::debug!("message to {to} dropped: no link or its queue is full");
+        }
+    }
+
+    /// Registers a request that waits for a permit.
+    pub(crate) fn wait_permit(&self, attempt: AttemptId) -> oneshot::Receiver<peer::PermitReply> {
+        let (tx, rx) = oneshot::channel();
+        self.waiting.lock().unwrap().insert(attempt, tx);
+        rx
+    }
+
+    /// Forgets a request that no longer waits.
+    pub(crate) fn forget_permit(&self, attempt: AttemptId) {
+        self.waiting.lock().unwrap().remove(&attempt);
+    }
+
+    fn deliver(self: &Arc<Self>, attempt: AttemptId, reply: peer::PermitReply) {
+        let waiter = self.waiting.lock().unwrap().remove(&attempt);
+        let granted = reply.granted;
+        let endpoint = Endpoint::new(&reply.endpoint);
+        let unused = match waiter {
+            Some(tx) => tx.send(reply).is_err(),
+            None => true,
+        };
+        if unused && granted {
+            // The request gave up; its place must not stay taken.
+            self.with_core(|core, now, out| {
+                let owner = core.fleet.endpoint(&endpoint).and_then(|e| e.owner.clone());
+                if let Some(owner) = owner {
+                    let outcome = crate::grant::Outcome::Unsent;
+                    core.end_permit(now, attempt, &owner, outcome, 0, out);
+                }
+            });
+        }
+    }
+
+    fn perform_authority(self: &Arc<Self>, out: AuthorityOut) {
+        let shell = self.clone();
+        match out {
+            AuthorityOut::Commit { op, txn } => drop(tokio::spawn(async move {
+                let result = shell.ports.table().commit(&txn).await;
+                shell.with_core(|core, now, out| {
+                    core.authority.on_commit(now, op, result);
+                    core.drain_authority(now, out);
+                });
+            })),
+            AuthorityOut::Scan { op, prefix } => drop(tokio::spawn(async move {
+                let result = shell.ports.table().scan(&prefix).await;
+                shell.with_core(|core, now, out| {
+                    core.authority.on_rows(now, op, result);
+                    core.drain_authority(now, out);
+                });
+            })),
+            AuthorityOut::Get { op, key } => drop(tokio::spawn(async move {
+                let result = shell.ports.table().get(&key).await.map(Vec::from_iter);
+                shell.with_core(|core, now, out| {
+                    core.authority.on_rows(now, op, result);
+                    core.drain_authority(now, out);
+                });
+            })),
+            AuthorityOut::AskPromise { to } => {
+                let sent = self.now().0;
+                let ask = peer::PromiseRequest { node: self.me.to_string(), sent };
+                self.send(vm_name(&to), Body::PromiseRequest(ask));
+            }
+            AuthorityOut::Probe { node } => drop(tokio::spawn(shell.probe(node))),
+            AuthorityOut::Gained { .. } | AuthorityOut::Lost { .. } => {}
+        }
+    }
+
+    async fn probe(self: Arc<Self>, node: Node) {
+        let Some(links) = self.links.get().cloned() else { return };
+        let result = match links.probe(vm_name(&node)).await {
+            Reach::Refused => ProbeResult::Refused,
+            Reach::Silent => ProbeResult::Silent,
+            // Another incarnation listens there, so the probed one has ended.
+            Reach::Node(found, _) if found != node => ProbeResult::Refused,
+            Reach::Node(_, level) => ProbeResult::Reached { level: Level::from_wire(level) },
+        };
+        self.with_core(|core, now, out| {
+            core.authority.on_probe(now, &node, result);
+            core.drain_authority(now, out);
+        });
+    }
+
+    /// The engine behind an endpoint's name.
+    pub(crate) fn engine(&self, endpoint: &Endpoint) -> Option<P::Engine> {
+        let addr = self.core.lock().unwrap().fleet.endpoint(endpoint).map(|e| e.addr)?;
+        Some(self.ports.engine(addr))
+    }
+
+    /// The service behind an endpoint's name.
+    pub(crate) fn service(&self, endpoint: &Endpoint) -> Option<P::Service> {
+        let addr = self.core.lock().unwrap().fleet.endpoint(endpoint).map(|e| e.addr)?;
+        Some(self.ports.service(addr))
+    }
+
+    fn fence(&self, endpoint: &Endpoint, order: Order) -> Option<u64> {
+        let core = self.core.lock().unwrap();
+        core.order_fence(self.now(), endpoint, order)
+    }
+
+    fn on_fenced(self: &Arc<Self>, endpoint: &Endpoint, fence: u64) {
+        log::warn!("endpoint {endpoint} refused fence {fence}: another node owns it");
+        self.with_core(|core, now, out| {
+            let resource: Option<Resource> = core.fleet.endpoint(endpoint).map(|e| e.resource());
+            if let Some(resource) = resource {
+                core.authority.on_fence_refused(now, &resource, fence);
+                core.drain_authority(now, out);
+            }
+        });
+    }
+
+    async fn load(self: Arc<Self>, order: EndpointOrder) {
+        self.metrics.loads(1);
+        let result = match (self.engine(&order.endpoint), self.fence(&order.endpoint, Order::Load))
+        {
+            (Some(engine), Some(fence)) => {
+                let result = engine.load(fence, &order.adapter).await;
+                if result == Err(OrderError::Fenced) {
+                    self.on_fenced(&order.endpoint, fence);
+                }
+                result
+            }
+            _ => Err(OrderError::Unsent("no authority for the order".to_owned())),
+        };
+        if let Err(e) = &result {
+            self.metrics.load_failures(1);
+            log::warn!("loading {} on {} failed: {e:?}", order.adapter, order.endpoint);
+        }
+        self.with_core(|core, now, out| core.on_loaded(now, &order, result.is_ok(), out));
+    }
+
+    async fn evict(self: Arc<Self>, order: EndpointOrder) {
+        self.metrics.evictions(1);
+        let result = match (self.engine(&order.endpoint), self.fence(&order.endpoint, Order::Evict))
+        {
+            (Some(engine), Some(fence)) => {
+                let result = engine.unload(fence, &order.adapter).await;
+                if result == Err(OrderError::Fenced) {
+                    self.on_fenced(&order.endpoint, fence);
+                }
+                result
+            }
+            _ => Err(OrderError::Unsent("no authority for the order".to_owned())),
+        };
+        if let Err(e) = &result {
+            log::warn!("evicting {} from {} failed: {e:?}", order.adapter, order.endpoint);
+        }
+        self.with_core(|core, now, out| core.on_evicted(now, &order, result.is_ok(), out));
+    }
+
+    async fn query(self: Arc<Self>, endpoint: Endpoint) {
+        let row = {
+            let core = self.core.lock().unwrap();
+            core.fleet.endpoint(&endpoint).map(|e| (e.addr, e.role))
+        };
+        let result = match row {
+            None => Err(crate::error::Error::state(endpoint.as_str(), "not listed")),
+            Some((addr, Role::Service)) => self.ports.service(addr).probe().await.map(|()| None),
+            Some((addr, Role::Engine)) => {
+                let engine = self.ports.engine(addr);
+                match engine.state().await {
+                    Ok(state) => Ok(Some(state)),
+                    // A silent kept connection must not count against the endpoint.
+                    Err(first) => match engine.probe().await {
+                        Ok(()) => engine.state().await.map(Some),
+                        Err(_) => Err(first),
+                    },
+                }
+            }
+        };
+        self.with_core(|core, now, out| core.on_state(now, &endpoint, result, out));
+    }
+
+    /// Reads, checks and adopts the configuration with this serial.
+    pub(crate) async fn fetch_config(self: Arc<Self>, serial: u64, digest: String) {
+        let newer = |c: &Option<Arc<Config>>| c.as_ref().is_none_or(|c| c.serial() < serial);
+        if !newer(&self.config.borrow()) {
+            return;
+        }
+        let text = match operate::read_config(self.ports.objects(), &digest).await {
+            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(e) => return log::warn!("reading configuration {serial} failed: {e}"),
+        };
+        let checked = crate::check::check(&digest, &text);
+        let Some(document) = checked.document else {
+            return log::error!("configuration {serial} does not pass the check; not adopted");
+        };
+        let config = Arc::new(Config::compile(document, serial, &digest));
+        self.adopt_config(config);
+    }
+
+    /// Puts a configuration in force, unless a higher serial is in force already.
+    pub(crate) fn adopt_config(self: &Arc<Self>, config: Arc<Config>) {
+        let adopted = self.with_core(|core, now, _| core.set_config(now, config.clone()));
+        if adopted {
+            log::info!("configuration {} is in force", config.serial());
+            self.metrics.serial(config.serial());
+            self.config.send_replace(Some(config));
+        }
+    }
+
+    /// Records a refusal and returns its identifier.
+    pub(crate) fn record_refusal(
+        &self,
+        id: RequestId,
+        caller: &Caller,
+        target: Option<&str>,
+        denial: &Denial,
+    ) -> String {
+        let ran = if denial.ran { Ran::Unknown } else { Ran::No };
+        let mut refusal =
+            Refusal::new(wall_clock(), id, target.unwrap_or(""), denial.reason.code(), ran);
+        refusal.team = caller.team.clone();
+        refusal.key = caller.key.clone();
+        for (name, value) in &denial.facts {
+            refusal = refusal.fact(name, value.clone());
+        }
+        if let Some(config) = &*self.config.borrow() {
+            refusal = refusal.fact("serial", config.serial());
+        }
+        let team = caller.team.as_ref().map_or("", |t| t.as_str());
+        self.metrics.refusals(1, team, denial.reason.code());
+        self.recorder.lock().unwrap().push(refusal)
+    }
+}
+
+/// Passes messages of peers to the core.
+pub(crate) struct PeerHandler<P: Ports>(pub(crate) Arc<Shell<P>>);
+
+impl<P: Ports> Clone for PeerHandler<P> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<P: Ports> Handler for PeerHandler<P> {
+    fn on_message(&self, from: &Node, body: Body) {
+        let shell = &self.0;
+        match body {
+            Body::Heartbeat(beat) => {
+                shell.with_core(|core, now, out| core.on_heartbeat(now, from, &beat, out));
+            }
+            Body::PermitRequest(req) => {
+                shell.with_core(|core, now, out| core.on_permit_request(now, from, &req, out));
+            }
+            Body::PermitReply(reply) => {
+                if let Some(attempt) = wire::attempt(&reply.attempt) {
+                    shell.deliver(attempt, reply);
+                }
+            }
+            Body::PermitEnd(end) => {
+                shell.with_core(|core, now, out| core.on_permit_end(now, &end, out));
+            }
+            Body::PermitCancel(cancel) => {
+                shell.with_core(|core, now, _| core.on_permit_cancel(now, &cancel));
+            }
+            Body::PromiseRequest(ask) => {
+                let promise =
+                    shell.with_core(|core, now, _| core.authority.on_promise_request(now, from));
+                let reply =
+                    peer::Promise { sent: ask.sent, valid: promise.valid.0, given: promise.given };
+                shell.send(vm_name(from), Body::Promise(reply));
+            }
+            Body::Promise(p) => shell.with_core(|core, now, _| {
+                core.authority.on_promise(now, from, Ms(p.sent), Ms(p.valid), p.given);
+            }),
+            Body::LoanAsk(ask) => {
+                let ask = wire::ask_from(&ask);
+                let loan = shell.with_core(|core, now, _| core.quota.on_ask(now, from, &ask));
+                if let Some(loan) = loan {
+                    shell.send(vm_name(from), Body::Loan(wire::loan(&loan)));
+                }
+            }
+            Body::Loan(loan) => {
+                let loan = wire::loan_from(&loan);
+                shell.with_core(|core, now, _| core.quota.on_loan(now, from, &loan));
+                shell.loans.notify_waiters();
+            }
+            Body::Hello(_) | Body::Proof(_) | Body::Ping(_) | Body::Pong(_) => {
+                log::warn!("unexpected message from {from} dropped");
+            }
+        }
+    }
+
+    fn on_open(&self, peer: &Node) {
+        self.0.with_core(|core, _, _| core.on_peer(peer));
+    }
+
+    fn authority(&self) -> u32 {
+        let shell = &self.0;
+        shell.core.lock().unwrap().authority.level(shell.now()).to_wire()
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,147 @@
+//! Conversions between peer messages and the core's types.
+//!
+//! Generated types stay at the border: a field that does not parse makes the
+//! conversion return `None`, and the message is dropped and counted.
+
+use crate::generated::peer;
+use crate::ids::{AdapterRef, AttemptId, Endpoint, Team};
+use crate::place::LoadView;
+use crate::quota::{Level, Loan, LoanAsk};
+use crate::time::Ms;
+
+/// The wire form of an attempt id.
+pub(crate) fn attempt_bytes(attempt: AttemptId) -> Vec<u8> {
+    attempt.0.to_be_bytes().to_vec()
+}
+
+/// Parses an attempt id.
+pub(crate) fn attempt(bytes: &[u8]) -> Option<AttemptId> {
+    Some(AttemptId(u128::from_be_bytes(bytes.try_into().ok()?)))
+}
+
+/// An adapter from its two names; empty names stand for the base model.
+pub(crate) fn adapter(adapter: &str, version: &str) -> Option<AdapterRef> {
+    (!adapter.is_empty()).then(|| AdapterRef::new(adapter, version))
+}
+
+/// Parses `ADAPTER@VERSION`.
+pub(crate) fn adapter_ref(text: &str) -> Option<AdapterRef> {
+    text.rsplit_once('@').map(|(adapter, version)| AdapterRef::new(adapter, version))
+}
+
+/// The load of an owned endpoint; `listing` adds the loaded adapters.
+pub(crate) fn endpoint_load(
+    name: &Endpoint,
+    fence: u64,
+    view: &LoadView,
+    listing: bool,
+) -> peer::EndpointLoad {
+    let loaded = match listing {
+        true => view.loaded.iter().map(ToString::to_string).collect(),
+        false => Vec::new(),
+    };
+    peer::EndpointLoad {
+        endpoint: name.to_string(),
+        fence,
+        running: view.running,
+        queued: view.queued,
+        queued_tokens: view.queued_tokens,
+        loaded,
+        slots: view.slots,
+        leaving: view.leaving,
+        healthy: view.healthy,
+        batch: view.batch,
+        loading: view.loading,
+        listing,
+    }
+}
+
+/// Updates a load view; the loaded adapters stay when the message lists none.
+pub(crate) fn update_view(view: &mut LoadView, load: &peer::EndpointLoad) {
+    view.running = load.running;
+    view.queued = load.queued;
+    view.queued_tokens = load.queued_tokens;
+    view.batch = load.batch;
+    view.slots = load.slots;
+    view.loading = load.loading;
+    view.leaving = load.leaving;
+    view.healthy = load.healthy;
+    if load.listing {
+        view.loaded = load.loaded.iter().filter_map(|a| adapter_ref(a)).collect();
+        view.loaded.sort();
+    }
+}
+
+/// A quota level on the wire.
+pub(crate) fn level(l: &Level) -> peer::Level {
+    peer::Level {
+        team: l.team.to_string(),
+        stock: l.stock,
+        rate: l.rate,
+        burst: l.burst,
+        permits: l.permits,
+    }
+}
+
+/// A quota level from the wire.
+pub(crate) fn level_from(l: &peer::Level) -> Level {
+    Level {
+        team: Team::new(&l.team),
+        stock: l.stock,
+        rate: l.rate,
+        burst: l.burst,
+        permits: l.permits,
+    }
+}
+
+/// A request for a loan on the wire.
+pub(crate) fn ask(a: &LoanAsk) -> peer::LoanAsk {
+    peer::LoanAsk {
+        team: a.team.to_string(),
+        id: a.id,
+        holds: a.holds,
+        stock: a.stock,
+        rate: a.rate,
+        burst: a.burst,
+        permits: a.permits,
+    }
+}
+
+/// A request for a loan from the wire.
+pub(crate) fn ask_from(a: &peer::LoanAsk) -> LoanAsk {
+    LoanAsk {
+        team: Team::new(&a.team),
+        id: a.id,
+        holds: a.holds,
+        stock: a.stock,
+        rate: a.rate,
+        burst: a.burst,
+        permits: a.permits,
+    }
+}
+
+/// A loan on the wire.
+pub(crate) fn loan(l: &Loan) -> peer::Loan {
+    peer::Loan {
+        team: l.team.to_string(),
+        id: l.id,
+        stock: l.stock,
+        rate: l.rate,
+        burst: l.burst,
+        permits: l.permits,
+        term: l.term.0,
+    }
+}
+
+/// A loan from the wire.
+pub(crate) fn loan_from(l: &peer::Loan) -> Loan {
+    Loan {
+        team: Team::new(&l.team),
+        id: l.id,
+        stock: l.stock,
+        rate: l.rate,
+        burst: l.burst,
+        permits: l.permits,
+        term: Ms(l.term),
+    }
+}
