--- /dev/null
+++ b/tests/claim.rs
@@ -0,0 +1,464 @@
+//! Runs several nodes against a table service with faults, in simulated time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quickcheck::{Gen, QuickCheck};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use sycamorefork::claim::{
+    Answer, Batch, Call, ClaimOut, ClaimRow, ClaimState, Claims, Opened, Outcome, Settings, Status,
+    Ticket, row_key,
+};
+use sycamorefork::error::{Error, Result};
+use sycamorefork::ids::{AttemptId, Node};
+use sycamorefork::platform::{Commit, Cond, Op, Row};
+use sycamorefork::time::Ms;
+
+const SEED: u64 = 0x5eed_c1a1;
+
+/// Where a node crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Crash {
+    BeforeClaim,
+    AfterClaim,
+    AfterSend,
+    AfterEffect,
+    BeforeStore,
+    BeforeCaller,
+}
+
+#[derive(Debug)]
+enum Ev {
+    Open { node: usize, key: usize },
+    Commit { node: usize, batch: Batch, answer: bool },
+    Committed { node: usize, id: u64, outcome: Result<Commit> },
+    Read { node: usize, keys: Vec<String> },
+    Rows { node: usize, keys: Vec<String>, rows: Result<Vec<Row>> },
+    Exec { node: usize, ticket: Ticket, key: usize, attempt: AttemptId },
+    Ended { node: usize, ticket: Ticket, key: usize, ran: bool },
+    Gone { node: usize },
+}
+
+struct Sim {
+    claims: Claims,
+    name: Node,
+    alive: bool,
+    crash: Option<Crash>,
+    open: BTreeMap<Ticket, (usize, AttemptId)>,
+}
+
+#[derive(Default)]
+struct Faults {
+    /// Parts per thousand of commits whose answer is lost before or after the effect.
+    lost: u32,
+    /// Times at which the table service answers nothing.
+    outage: Vec<(u64, u64)>,
+    /// Parts per thousand of calls that the endpoint refuses.
+    refused: u32,
+}
+
+struct World {
+    now: u64,
+    seq: u64,
+    rng: SmallRng,
+    faults: Faults,
+    status: bool,
+    table: BTreeMap<String, Row>,
+    versions: u64,
+    events: BTreeMap<(u64, u64), Ev>,
+    nodes: Vec<Sim>,
+    keys: Vec<String>,
+    runs: BTreeMap<usize, u32>,
+    ran: BTreeMap<AttemptId, usize>,
+    unrun: BTreeSet<AttemptId>,
+    answered: BTreeSet<usize>,
+    unknown: BTreeSet<usize>,
+    tries: BTreeMap<usize, u32>,
+    commits: Vec<u64>,
+    /// Earliest instant, in microseconds, at which the table takes a commit.
+    table_free: u64,
+    deadline: u64,
+}
+
+fn answer(key: usize) -> Answer {
+    let headers = vec![("content-type".to_owned(), "text/plain".to_owned())];
+    Answer { status: 200, headers, body: format!("done {key}").into(), cut: false }
+}
+
+impl World {
+    fn new(seed: u64, nodes: usize, keys: usize, settings: Settings, faults: Faults) -> Self {
+        let make = |i: usize| {
+            let name = Node::new(&format!("node-{i}"));
+            let claims = Claims::new(name.clone(), settings, seed + i as u64);
+            Sim { claims, name, alive: true, crash: None, open: BTreeMap::new() }
+        };
+        Self {
+            now: 0,
+            seq: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            faults,
+            status: true,
+            table: BTreeMap::new(),
+            versions: 0,
+            events: BTreeMap::new(),
+            nodes: (0..nodes).map(make).collect(),
+            keys: (0..keys)
+                .map(|i| row_key(&"bookings".into(), &"team".into(), &format!("key {i}")))
+                .collect(),
+            runs: BTreeMap::new(),
+            ran: BTreeMap::new(),
+            unrun: BTreeSet::new(),
+            answered: BTreeSet::new(),
+            unknown: BTreeSet::new(),
+            tries: BTreeMap::new(),
+            commits: Vec::new(),
+            table_free: 0,
+            deadline: 2000,
+        }
+    }
+
+    fn at(&mut self, delay: u64, ev: Ev) {
+        self.seq += 1;
+        self.events.insert((self.now + delay, self.seq), ev);
+    }
+
+    fn chance(&mut self, thousandths: u32) -> bool {
+        self.rng.random_range(0..1000) < thousandths
+    }
+
+    fn down(&self) -> bool {
+        self.faults.outage.iter().any(|(from, to)| (*from..*to).contains(&self.now))
+    }
+
+    fn apply(&mut self, batch: &Batch) -> Commit {
+        self.commits.push(self.now);
+        let mut seen = BTreeSet::new();
+        for w in &batch.txn.writes {
+            assert!(seen.insert(&w.key), "two writes of one transaction on {}", w.key);
+            let version = self.table.get(&w.key).map(|r| r.version);
+            let holds = match w.cond {
+                Cond::Any => true,
+                Cond::Absent => version.is_none(),
+                Cond::Version(v) => version == Some(v),
+            };
+            if !holds {
+                return Commit::Conflict(w.key.clone());
+            }
+        }
+        let mut versions = Vec::new();
+        for w in &batch.txn.writes {
+            self.versions += 1;
+            versions.push(self.versions);
+            let Op::Put(value) = &w.op else { panic!("unexpected operation {:?}", w.op) };
+            let (key, txn) = (w.key.clone(), batch.txn.id.clone());
+            let row = Row { key, version: self.versions, txn, value: value.clone() };
+            let claim = ClaimRow::parse(&row).unwrap();
+            self.table.insert(w.key.clone(), row);
+            let index = self.keys.iter().position(|k| *k == w.key);
+            if claim.state == ClaimState::Ended && self.answered.is_empty() {
+                let held = |n: &Sim| n.name == claim.node && n.crash == Some(Crash::BeforeCaller);
+                if let Some(node) = self.nodes.iter().position(held) {
+                    assert!(index.is_some());
+                    self.kill(node);
+                }
+            }
+        }
+        Commit::Done(versions)
+    }
+
+    /// Ends a node; callers try another node, and its peers learn of it later.
+    fn kill(&mut self, node: usize) {
+        self.nodes[node].alive = false;
+        self.nodes[node].crash = None;
+        for (key, _) in std::mem::take(&mut self.nodes[node].open).into_values() {
+            self.retry(key, 1000);
+        }
+        self.at(3000, Ev::Gone { node });
+    }
+
+    fn retry(&mut self, key: usize, delay: u64) {
+        let tries = self.tries.entry(key).or_default();
+        *tries += 1;
+        if *tries < 40 {
+            let live: Vec<usize> = (0..self.nodes.len()).filter(|n| self.nodes[*n].alive).collect();
+            let node = live[self.rng.random_range(0..live.len())];
+            self.at(delay, Ev::Open { node, key });
+        }
+    }
+
+    fn tell(&mut self, node: usize, ticket: Ticket) -> Option<(usize, AttemptId)> {
+        self.nodes[node].open.remove(&ticket)
+    }
+
+    fn handle(&mut self, ev: Ev) {
+        let now = Ms(self.now);
+        match ev {
+            Ev::Open { node, key } => self.open(node, key),
+            Ev::Commit { node, batch, answer } => {
+                // The table service takes 300 transactions a second.
+                if self.table_free > self.now * 1000 {
+                    let delay = (self.table_free - self.now * 1000).div_ceil(1000);
+                    return self.at(delay, Ev::Commit { node, batch, answer });
+                }
+                self.table_free = self.table_free.max(self.now * 1000) + 1_000_000 / 300;
+                let outcome = self.apply(&batch);
+                if answer {
+                    self.at(2, Ev::Committed { node, id: batch.id, outcome: Ok(outcome) });
+                }
+            }
+            Ev::Committed { node, id, outcome } if self.nodes[node].alive => {
+                self.nodes[node].claims.on_commit(now, id, outcome);
+            }
+            Ev::Read { node, keys } => {
+                let rows = match self.down() {
+                    true => Err(Error::io("table", "no answer")),
+                    false => Ok(keys.iter().filter_map(|k| self.table.get(k).cloned()).collect()),
+                };
+                self.at(2, Ev::Rows { node, keys, rows });
+            }
+            Ev::Rows { node, keys, rows } if self.nodes[node].alive => {
+                self.nodes[node].claims.on_rows(now, &keys, rows);
+            }
+            Ev::Exec { node, ticket, key, attempt } => {
+                let ran = !self.chance(self.faults.refused);
+                if ran {
+                    *self.runs.entry(key).or_default() += 1;
+                    self.ran.insert(attempt, key);
+                }
+                if self.nodes[node].crash == Some(Crash::AfterEffect) {
+                    return self.kill(node);
+                }
+                self.at(2, Ev::Ended { node, ticket, key, ran });
+            }
+            Ev::Ended { node, ticket, key, ran } if self.nodes[node].alive => {
+                if self.nodes[node].crash == Some(Crash::BeforeStore) {
+                    return self.kill(node);
+                }
+                let outcome = match ran {
+                    true => Outcome::Answer(answer(key)),
+                    false => Outcome::NotRun,
+                };
+                self.nodes[node].claims.finish(now, ticket, outcome).unwrap();
+                if self.nodes[node].crash == Some(Crash::BeforeCaller) {
+                    return;
+                }
+                let Some((key, attempt)) = self.tell(node, ticket) else { return };
+                if ran {
+                    self.answered.insert(key);
+                } else {
+                    self.unrun.insert(attempt);
+                    self.retry(key, 100);
+                }
+            }
+            Ev::Gone { node } => {
+                let name = self.nodes[node].name.clone();
+                for peer in self.nodes.iter_mut().filter(|n| n.alive) {
+                    peer.claims.node_gone(now, &name);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn open(&mut self, node: usize, key: usize) {
+        if !self.nodes[node].alive {
+            return self.retry(key, 500);
+        }
+        self.seq += 1;
+        let attempt = AttemptId(u128::from(self.seq));
+        let call = Call {
+            key: self.keys[key].clone(),
+            digest: "body".to_owned(),
+            attempt,
+            endpoint: "booking-1".into(),
+            deadline: Ms(self.now + self.deadline),
+            created: Ms(self.now),
+        };
+        match self.nodes[node].claims.open(Ms(self.now), call) {
+            Opened::Queued(ticket) | Opened::Wait(ticket) => {
+                self.nodes[node].open.insert(ticket, (key, attempt));
+            }
+            Opened::Replay(found) => {
+                assert_eq!(found, answer(key));
+                self.answered.insert(key);
+            }
+            Opened::Unknown { .. } => {
+                self.unknown.insert(key);
+                self.retry(key, 5000);
+            }
+            Opened::Full => self.retry(key, 1000),
+            Opened::Conflict => panic!("conflict on equal bodies"),
+        }
+        if self.nodes[node].crash == Some(Crash::BeforeClaim) {
+            self.kill(node);
+        }
+    }
+
+    fn output(&mut self, node: usize, out: ClaimOut) {
+        match out {
+            ClaimOut::Proceed(ticket) => {
+                let Some((key, attempt)) = self.nodes[node].open.get(&ticket).copied() else {
+                    panic!("proceed for a call that has ended");
+                };
+                if self.nodes[node].crash == Some(Crash::AfterClaim) {
+                    return self.kill(node);
+                }
+                self.at(2, Ev::Exec { node, ticket, key, attempt });
+                if self.nodes[node].crash == Some(Crash::AfterSend) {
+                    self.kill(node);
+                }
+            }
+            ClaimOut::Replay(ticket, found) => {
+                if let Some((key, _)) = self.tell(node, ticket) {
+                    assert_eq!(found, answer(key));
+                    self.answered.insert(key);
+                }
+            }
+            ClaimOut::NotRun(ticket, _) => {
+                if let Some((key, attempt)) = self.tell(node, ticket) {
+                    self.unrun.insert(attempt);
+                    self.retry(key, 100);
+                }
+            }
+            ClaimOut::Unknown { ticket, .. } => {
+                if let Some((key, _)) = self.tell(node, ticket) {
+                    self.unknown.insert(key);
+                    self.retry(key, 3000);
+                }
+            }
+            ClaimOut::Conflict(_) => panic!("conflict on equal bodies"),
+            ClaimOut::Wait(..) => {}
+            ClaimOut::Read { keys } => self.at(2, Ev::Read { node, keys }),
+            ClaimOut::Query { key, attempt, .. } => {
+                let status = match self.ran.get(&attempt).filter(|_| self.status) {
+                    Some(run) => Status::Ended(answer(*run)),
+                    None => Status::Unclear,
+                };
+                self.nodes[node].claims.on_status(Ms(self.now), &key, status);
+            }
+        }
+    }
+
+    fn commit(&mut self, node: usize, batch: Batch) {
+        let down = self.down();
+        let lost = self.chance(self.faults.lost);
+        if !down && !lost {
+            return self.at(2, Ev::Commit { node, batch, answer: true });
+        }
+        // Without an answer, the write took effect at once, takes effect after
+        // the node has given up on it, or never does.
+        let error = Err(Error::io("table", "no answer"));
+        self.at(200, Ev::Committed { node, id: batch.id, outcome: error });
+        match self.rng.random_range(0..3) {
+            0 if !down => self.at(2, Ev::Commit { node, batch, answer: false }),
+            1 => {
+                let delay = self.rng.random_range(100..3000);
+                self.at(delay, Ev::Commit { node, batch, answer: false });
+            }
+            _ => {}
+        }
+    }
+
+    fn run(&mut self, until: u64) {
+        while self.now < until {
+            while let Some(entry) = self.events.first_entry()
+                && entry.key().0 <= self.now
+            {
+                let ev = entry.remove();
+                self.handle(ev);
+            }
+            for node in 0..self.nodes.len() {
+                for out in self.nodes[node].claims.poll(Ms(self.now)) {
+                    if self.nodes[node].alive {
+                        self.output(node, out);
+                    }
+                }
+                while self.nodes[node].alive
+                    && let Some(batch) = self.nodes[node].claims.next_batch(Ms(self.now))
+                {
+                    self.commit(node, batch);
+                }
+            }
+            self.now += 1;
+        }
+    }
+
+    fn check(&self, what: &str) {
+        for (key, runs) in &self.runs {
+            assert!(*runs <= 1, "{what}: key {key} ran {runs} times");
+        }
+        for attempt in &self.unrun {
+            assert!(!self.ran.contains_key(attempt), "{what}: {attempt} ran after \"not run\"");
+        }
+        assert!(self.nodes.iter().all(|n| n.claims.counts().stolen == 0), "{what}: stolen claim");
+    }
+}
+
+/// Guards against a second execution after a crash at any position, and against
+/// a call that stays unanswered although its outcome can be found.
+#[test]
+fn runs_at_most_once_at_each_crash_position() {
+    let positions = [
+        (Crash::BeforeClaim, 1, true, true),
+        (Crash::AfterClaim, 0, false, false),
+        (Crash::AfterSend, 1, true, false),
+        (Crash::AfterEffect, 1, true, false),
+        (Crash::BeforeStore, 1, true, false),
+        (Crash::BeforeCaller, 1, true, true),
+    ];
+    for (crash, runs, found, found_blind) in positions {
+        for (status, both) in [(true, false), (true, true), (false, false), (false, true)] {
+            let what = format!("crash {crash:?}, status query {status}, two nodes {both}");
+            let mut world = World::new(SEED, 3, 1, Settings::default(), Faults::default());
+            world.status = status;
+            world.nodes[0].crash = Some(crash);
+            world.at(0, Ev::Open { node: 0, key: 0 });
+            if both {
+                world.at(0, Ev::Open { node: 1, key: 0 });
+            }
+            world.run(60_000);
+            world.check(&what);
+            let ran = world.runs.get(&0).copied().unwrap_or(0);
+            assert_eq!(ran, runs, "{what}");
+            let expected = if status { found } else { found_blind };
+            assert_eq!(world.answered.contains(&0), expected, "{what}");
+            assert!(expected || world.unknown.contains(&0), "{what}: caller was not told");
+        }
+    }
+}
+
+/// Guards against double execution, a false "not run" and lost keys when commits
+/// are lost before or after their effect or arrive late, the table service is
+/// down, endpoints refuse calls and the same call is made at several nodes.
+#[test]
+fn lost_table_answers_never_run_a_call_twice() {
+    fn property(seed: u64) -> bool {
+        let faults = Faults { lost: 250, outage: vec![(3000, 9000)], refused: 50 };
+        let mut world = World::new(seed % 1_000_000, 3, 30, Settings::default(), faults);
+        for key in 0..30 {
+            for _ in 0..world.rng.random_range(1..4) {
+                let node = world.rng.random_range(0..3);
+                let delay = world.rng.random_range(0..10_000);
+                world.at(delay, Ev::Open { node, key });
+            }
+        }
+        let crash = [Crash::AfterClaim, Crash::AfterSend, Crash::AfterEffect, Crash::BeforeStore];
+        let crashes = seed.is_multiple_of(2);
+        if crashes {
+            world.nodes[0].crash = Some(crash[(seed / 2 % 4) as usize]);
+        }
+        world.run(20_000);
+        world.faults = Faults::default();
+        world.run(60_000);
+        let what = format!("seed {seed}");
+        world.check(&what);
+        for key in 0..30 {
+            let told = world.answered.contains(&key) || crashes && world.unknown.contains(&key);
+            assert!(told, "{what}: key {key} has no answer");
+        }
+        true
+    }
+    println!("generator seed {SEED:#x}");
+    let mut quick = QuickCheck::new().rng(Gen::from_size_and_seed(1000, SEED)).tests(100);
+    quick.quickcheck(property as fn(u64) -> bool);
+}
