--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -1,8 +1,8 @@
 //! Lease, promises, takeover and ownership against a fake table.
 
-mod common;
+mod cell;
 
-use common::{Cell, Claim, endpoint};
+use cell::{Cell, Claim, endpoint};
 use sycamorefork::lease::Level;
 use sycamorefork::owner::{Order, Resource};
 
