--- a/src/check.rs
+++ b/src/check.rs
@@ -8,7 +8,7 @@
     AdapterDoc, Document, FamilyDoc, KeyDoc, LevelDoc, ModelDoc, PoolDoc, RouteDoc, RouteKind,
     Serves, Shared, StoreDoc, TeamDoc,
 };
-use crate::fields::{Section, parse};
+use crate::fields::{Section, given, parse};
 use crate::finding::{Finding, Report, has_errors};
 use crate::{keys, rules};
 
@@ -66,6 +66,10 @@
     let tree = parse(&mut report, text);
     let top = Section::new(&mut report, tree.get_ref(), 0..0, "the document", TOP);
     let document = read(&mut report, &top);
+    // The whole text, because a key in a comment or a wrong field is disclosed as well.
+    for range in keys::find_keys(text) {
+        clear_text(&mut report, range.start);
+    }
     rules::check(&mut report, &document);
     let findings = report.into_findings();
     let document = (!has_errors(&findings)).then_some(document);
@@ -116,7 +120,7 @@
         name: s.text(r, "name"),
         rate: s.count(r, "rate"),
         burst: s.count(r, "burst"),
-        weight: s.opt_number(r, "weight").unwrap_or_else(|| Spanned::new(s.span(), 1.0)),
+        weight: s.opt_number(r, "weight").unwrap_or_else(|| s.absent(1.0)),
     }
 }
 
@@ -127,9 +131,8 @@
         }
     }
     let digest = s.text(r, "digest");
-    if keys::looks_like_key(digest.get_ref()) {
-        clear_text(r, digest.span().start);
-    } else if s.has("digest") && !keys::is_digest(digest.get_ref()) {
+    let form = keys::is_digest(digest.get_ref()) || keys::looks_like_key(digest.get_ref());
+    if given(&digest) && !form {
         r.add(
             digest.span().start,
             "E030",
@@ -190,7 +193,7 @@
                     "add `default = \"...\"` with the version to run when the caller names none",
                 );
             }
-            Spanned::new(s.span(), String::new())
+            s.absent(String::new())
         }
     };
     let listed = versions.iter().any(|v| v.get_ref() == default.get_ref());
@@ -204,9 +207,9 @@
 fn family(r: &mut Report<'_>, s: &Section<'_>) -> FamilyDoc {
     let names = s.texts(r, "names");
     let numbered = s.has("prefix") || s.has("count") || s.has("digits") || s.has("first");
-    let none = || Spanned::new(s.span(), 0);
+    let none = || s.absent(0);
     let (prefix, count, digits) = match (s.has("names"), numbered) {
-        (true, false) => (Spanned::new(s.span(), String::new()), none(), none()),
+        (true, false) => (s.absent(String::new()), none(), none()),
         (false, true) => (s.text(r, "prefix"), s.count(r, "count"), s.count(r, "digits")),
         _ => {
             r.add(
@@ -215,7 +218,7 @@
                 "a family has either `names` or `prefix`, `count` and `digits`",
                 "keep one of the two forms",
             );
-            (Spanned::new(s.span(), String::new()), none(), none())
+            (s.absent(String::new()), none(), none())
         }
     };
     let first = s.opt_count(r, "first").map_or(0, Spanned::into_inner);
@@ -236,7 +239,7 @@
                     "give exactly one of the two",
                 );
             }
-            Spanned::new(s.span(), Serves::Service(String::new()))
+            s.absent(Serves::Service(String::new()))
         }
     };
     PoolDoc { name: s.text(r, "name"), serves }
@@ -265,11 +268,11 @@
         open: s.flag(r, "open", false),
         idempotent: s.flag(r, "idempotent", kind == RouteKind::Engine),
         status: s.opt_text(r, "status"),
-        priority: s.opt_count(r, "priority").unwrap_or_else(|| Spanned::new(s.span(), 1)),
+        priority: s.opt_count(r, "priority").unwrap_or_else(|| s.absent(1)),
         level: s.opt_text(r, "level"),
         team: s.opt_text(r, "team"),
-        tokens: s.opt_count(r, "tokens").unwrap_or_else(|| Spanned::new(s.span(), 1)),
-        weight: s.opt_number(r, "weight").unwrap_or_else(|| Spanned::new(s.span(), 1.0)),
+        tokens: s.opt_count(r, "tokens").unwrap_or_else(|| s.absent(1)),
+        weight: s.opt_number(r, "weight").unwrap_or_else(|| s.absent(1.0)),
     }
 }
 
--- a/src/fields.rs
+++ b/src/fields.rs
@@ -62,11 +62,6 @@
         self.span.start
     }
 
-    /// The span of the table's header.
-    pub fn span(&self) -> Range<usize> {
-        self.span.clone()
-    }
-
     /// Whether the field is present.
     pub fn has(&self, field: &str) -> bool {
         self.table.contains_key(field)
@@ -85,7 +80,7 @@
         report.add(
             self.span.start,
             "E003",
-            format_args!("{} has no `{field}`", self.what),
+            format_args!("`{field}` is missing in {}", self.what),
             format_args!("add `{field} = ...`"),
         );
     }
@@ -120,10 +115,15 @@
             if !self.has(field) {
                 self.missing(report, field);
             }
-            Spanned::new(self.span(), T::default())
+            self.absent(T::default())
         })
     }
 
+    /// A value that the file does not give; its span is empty, see [`given`].
+    pub fn absent<T>(&self, value: T) -> Spanned<T> {
+        Spanned::new(self.span.start..self.span.start, value)
+    }
+
     /// An optional text.
     pub fn opt_text(&self, report: &mut Report<'_>, field: &str) -> Option<Spanned<String>> {
         self.read(report, field, "a text", |v| v.as_str().map(str::to_owned))
@@ -229,6 +229,12 @@
     }
 }
 
+/// Whether the file gives this value in a usable form. Otherwise it is a default, or
+/// there is a finding on it already.
+pub fn given<T>(value: &Spanned<T>) -> bool {
+    !value.span().is_empty()
+}
+
 /// Parses a duration with its unit.
 pub fn duration(text: &str) -> Option<Ms> {
     let split = text.find(|c: char| !c.is_ascii_digit())?;
--- a/src/finding.rs
+++ b/src/finding.rs
@@ -8,6 +8,7 @@
 use serde::{Serialize, Serializer};
 
 use crate::error::Place;
+use crate::keys;
 
 /// Weight of a finding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -85,8 +86,8 @@
             place: self.place(offset),
             severity,
             code,
-            message: message.to_string(),
-            remedy: remedy.to_string(),
+            message: keys::redact(&message.to_string()),
+            remedy: keys::redact(&remedy.to_string()),
         };
         self.findings.push((offset, finding));
     }
@@ -114,27 +115,31 @@
 
 /// The candidate that is closest to `word`, if one is close enough to be a typing error.
 pub fn closest<'c>(word: &str, candidates: impl IntoIterator<Item = &'c str>) -> Option<&'c str> {
-    let most = (word.chars().count() / 3).max(1);
+    let length = word.chars().count();
+    let most = (length / 3).max(1);
     candidates
         .into_iter()
         .map(|c| (distance(word, c), c))
-        .filter(|(d, _)| *d <= most)
+        .filter(|(d, _)| *d <= most && *d < length)
         .min()
         .map(|(_, c)| c)
 }
 
-/// Levenshtein distance in characters.
+/// Edit distance in characters, where a swap of two neighbours counts as one edit.
 fn distance(a: &str, b: &str) -> usize {
-    let b: Vec<char> = b.chars().collect();
-    let mut row: Vec<usize> = (0..=b.len()).collect();
-    for (i, x) in a.chars().enumerate() {
-        let mut diagonal = row[0];
-        row[0] = i + 1;
-        for (j, y) in b.iter().enumerate() {
-            let replace = diagonal + usize::from(x != *y);
-            diagonal = row[j + 1];
-            row[j + 1] = replace.min(row[j] + 1).min(diagonal + 1);
+    let (a, b): (Vec<char>, Vec<char>) = (a.chars().collect(), b.chars().collect());
+    let mut rows: Vec<Vec<usize>> = vec![(0..=b.len()).collect()];
+    for i in 1..=a.len() {
+        let mut row = vec![i];
+        for j in 1..=b.len() {
+            let replace = rows[i - 1][j - 1] + usize::from(a[i - 1] != b[j - 1]);
+            let mut best = replace.min(rows[i - 1][j] + 1).min(row[j - 1] + 1);
+            if i > 1 && j > 1 && a[i - 1] == b[j - 2] && a[i - 2] == b[j - 1] {
+                best = best.min(rows[i - 2][j - 2] + 1);
+            }
+            row.push(best);
         }
+        rows.push(row);
     }
-    row[b.len()]
+    rows[a.len()][b.len()]
 }
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -1,6 +1,7 @@
 //! Callers' keys: generation and digests. The service stores digests only.
 
 use std::fmt;
+use std::ops::Range;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
@@ -13,6 +14,9 @@
 /// Start of every generated key; lets checks recognise a key in clear text.
 pub const PREFIX: &str = "sf_";
 
+/// Characters after the prefix from which a text counts as a key, possibly a cut one.
+const SHORTEST: usize = 16;
+
 /// Random bytes of a key. 256 bits cannot be guessed, so the digest needs no salt.
 const KEY_BYTES: usize = 32;
 
@@ -92,7 +96,30 @@
 
 /// Whether the text has the form of a generated key.
 pub fn looks_like_key(text: &str) -> bool {
-    text.strip_prefix(PREFIX).is_some_and(|rest| {
-        rest.len() >= 16 && rest.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_".contains(&b))
-    })
+    matches!(find_keys(text).as_slice(), [only] if only.len() == text.len())
+}
+
+/// Where a text contains generated keys, as byte ranges.
+pub fn find_keys(text: &str) -> Vec<Range<usize>> {
+    let inside = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
+    let mut found = Vec::new();
+    let mut at = 0;
+    while let Some(start) = text[at..].find(PREFIX).map(|i| at + i) {
+        let rest = text[start..].bytes().take_while(|b| inside(*b)).count();
+        let begins = start == 0 || !inside(text.as_bytes()[start - 1]);
+        if begins && rest >= PREFIX.len() + SHORTEST {
+            found.push(start..start + rest);
+        }
+        at = start + rest;
+    }
+    found
+}
+
+/// The text with generated keys replaced by `[key]`.
+pub fn redact(text: &str) -> String {
+    let mut out = text.to_owned();
+    for range in find_keys(text).into_iter().rev() {
+        out.replace_range(range, "[key]");
+    }
+    out
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 
 use crate::config::family_name;
 use crate::document::{At, Document, FamilyDoc, RouteDoc, RouteKind, Serves, Shared};
+use crate::fields::given;
 use crate::finding::{Report, closest};
 use crate::time::Ms;
 
@@ -59,14 +60,12 @@
     }
     levels(r, d);
     let loads = *d.store.loads.get_ref();
-    if !(loads > 0.0 && loads <= MOST_LOADS) && d.store.loads.span().end > 0 {
+    if given(&d.store.loads) && !(loads > 0.0 && loads <= MOST_LOADS) {
         let at = d.store.loads.span().start;
         let message = format!("`loads` must be above 0 and at most {MOST_LOADS} loads/s");
         r.add(at, "E020", message, "write the rate that the weight store allows");
     }
-    if d.store.concurrent.span().end > 0 {
-        range(r, "concurrent", &d.store.concurrent, 1, 100_000, "loads");
-    }
+    range(r, "concurrent", &d.store.concurrent, 1, 100_000, "loads");
 }
 
 /// Whether the text may be a name.
@@ -128,7 +127,7 @@
 }
 
 fn range(r: &mut Report<'_>, field: &str, value: &At<u64>, least: u64, most: u64, unit: &str) {
-    if !(least..=most).contains(value.get_ref()) {
+    if given(value) && !(least..=most).contains(value.get_ref()) {
         r.add(
             value.span().start,
             if *value.get_ref() == 0 { "E020" } else { "E021" },
@@ -139,7 +138,7 @@
 }
 
 fn weight(r: &mut Report<'_>, value: &At<f64>) {
-    if !(*value.get_ref() > 0.0 && *value.get_ref() <= MOST_WEIGHT) {
+    if given(value) && !(*value.get_ref() > 0.0 && *value.get_ref() <= MOST_WEIGHT) {
         r.add(
             value.span().start,
             "E023",
@@ -156,11 +155,6 @@
     for t in &d.teams {
         weight(r, &t.weight);
         let (rate, burst) = (*t.rate.get_ref(), *t.burst.get_ref());
-        // A missing or mistyped number has the span of the whole entry and its own finding.
-        let given = t.rate.span() != t.burst.span();
-        if !given {
-            continue;
-        }
         range(r, "rate", &t.rate, 1, MOST_RATE, "tokens/s");
         let most = rate.saturating_mul(MOST_BURST).max(MOST_CONTEXT);
         range(r, "burst", &t.burst, 1, most, "tokens");
@@ -250,7 +244,7 @@
         }
     }
     for (i, f) in d.families.iter().enumerate().filter(|(_, f)| f.names.is_empty()) {
-        if f.digits.span() == f.count.span() {
+        if !(given(&f.digits) && given(&f.count) && given(&f.prefix)) {
             continue;
         }
         name(r, "family prefix", &f.prefix);
@@ -260,7 +254,7 @@
         let end = f.first.saturating_add(*f.count.get_ref());
         if end > 10_u64.pow(digits) {
             let message = format!("numbers up to {} do not fit into {digits} digits", end - 1);
-            r.add(f.digits.span().start, "E021", message, "raise `digits` or lower `count`");
+            r.add(f.count.span().start, "E021", message, "lower `count` or raise `digits`");
         } else if let Some(other) = d.families[..i].iter().find(|o| overlap(o, f)) {
             let message =
                 format!("families `{}` and `{}` have common members", other.prefix, f.prefix);
@@ -410,15 +404,14 @@
             ("between", &l.between, Ms::secs(60)),
             ("window", &l.window, Ms::secs(366 * 86_400)),
         ] {
-            // A missing or mistyped duration has its own finding and is zero here.
-            let given = value.span() != l.name.span() && value.get_ref().0 > 0;
-            if given && *value.get_ref() > most {
+            if given(value) && !(Ms(1)..=most).contains(value.get_ref()) {
                 let message = format!("`{field}` is {value}");
-                r.add(value.span().start, "E060", message, format_args!("write at most {most}"));
+                let remedy = format!("write a time from 1 ms to {most}");
+                r.add(value.span().start, "E060", message, remedy);
             }
         }
         let objective = *l.objective.get_ref();
-        if !(objective > 0.0 && objective < 1.0) {
+        if given(&l.objective) && !(objective > 0.0 && objective < 1.0) {
             r.add(
                 l.objective.span().start,
                 "E061",
