Test changes of the configuration under lost requests, lost answers and races

The property covers writes that take effect after the client gave up waiting. Two deliberate faults in move_head were tried against it: trusting a conflict after an unanswered write, and reading the head instead of the history row. Both made it fail.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -18,6 +18,8 @@
     Request,
     /// The answer is lost after the write took effect.
     Answer,
+    /// No answer; the write takes effect before the next one.
+    Late,
     /// Another client's transaction commits first.
     Race(Txn),
     /// The answer is lost, then another client's transaction commits.
@@ -31,6 +33,7 @@
     pub commit_faults: VecDeque<Fault>,
     pub put_faults: VecDeque<Fault>,
     pub down: bool,
+    late: Option<Txn>,
     version: u64,
 }
 
@@ -93,6 +96,9 @@
     async fn commit(&self, txn: &Txn) -> Result<Commit> {
         self.with(|s| {
             s.up()?;
+            if let Some(late) = s.late.take() {
+                s.commit(&late);
+            }
             let lost = Err(Error::io("fake", "no answer"));
             match s.commit_faults.pop_front().unwrap_or(Fault::None) {
                 Fault::None => Ok(s.commit(txn)),
@@ -101,6 +107,10 @@
                     s.commit(txn);
                     lost
                 }
+                Fault::Late => {
+                    s.late = Some(txn.clone());
+                    lost
+                }
                 Fault::Race(other) => {
                     s.commit(&other);
                     Ok(s.commit(txn))
--- /dev/null
+++ b/tests/operate.rs
@@ -0,0 +1,236 @@
+//! Operators' changes of the configuration: apply, promote, withdraw.
+
+mod common;
+
+use common::{Fake, Fault, block_on, document, property};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use sycamorefork::check::check;
+use sycamorefork::config::Config;
+use sycamorefork::operate::{
+    Applied, HEAD, HISTORY_KEPT, Head, Stamp, apply, digest_of, history, object_name, promote,
+    read_config, read_head,
+};
+use sycamorefork::platform::{Cond, Txn, Write};
+use sycamorefork::time::Ms;
+use sycamorefork::withdraw::withdraw;
+use sycamorefork::{Category, Result};
+
+const TRIAL: &str = include_str!("../examples/trial.toml");
+
+fn stamp(n: u64) -> Stamp {
+    Stamp { by: format!("op{n}"), at: Ms(1_000 * n), txn: format!("txn-{n}") }
+}
+
+fn run(fake: &Fake, text: &str, expected: Option<u64>, n: u64) -> Result<Applied> {
+    block_on(apply(fake, fake, "doc.toml", text, expected, &stamp(n)))
+}
+
+/// The transaction by which another operator would move the head to `text`.
+fn other(fake: &Fake, serial: u64, text: &str, txn: &str) -> Txn {
+    let digest = digest_of(text.as_bytes());
+    fake.with(|s| s.objects.insert(object_name(&digest), text.to_owned().into()));
+    let head = Head { serial, digest, by: "other".into(), at: Ms(5) };
+    let value = serde_json::to_vec(&head).unwrap();
+    let history = format!("config/history/{serial:020}");
+    let writes =
+        vec![Write::put(HEAD, Cond::Any, value.clone()), Write::put(history, Cond::Any, value)];
+    Txn { id: txn.into(), writes }
+}
+
+fn serial(result: &Result<Applied>) -> Option<u64> {
+    match result {
+        Ok(Applied::Accepted { head, .. }) => Some(head.serial),
+        _ => None,
+    }
+}
+
+// Guards against a serial that is reused or goes back, a change that is reported as
+// lost although it is in force (or the reverse), and a head without its object, under
+// lost requests, lost answers and races at every write.
+#[test]
+fn reports_match_what_is_in_force_under_faults() {
+    fn holds(seed: u64) -> bool {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let fake = Fake::default();
+        let mut last = 0;
+        for n in 1..20 {
+            let text = document(500 + n);
+            let race = |rng: &mut SmallRng, serial| {
+                let theirs = document(5000 + rng.random_range(0..1000));
+                other(&fake, serial, &theirs, &format!("theirs-{n}"))
+            };
+            let mut faults = Vec::new();
+            for _ in 0..rng.random_range(0..6) {
+                faults.push(match rng.random_range(0..6) {
+                    0 => Fault::None,
+                    5 => Fault::Late,
+                    1 | 2 => Fault::Request,
+                    3 => Fault::Answer,
+                    _ if rng.random() => Fault::Race(race(&mut rng, last + 1)),
+                    _ => Fault::AnswerThenRace(race(&mut rng, last + 2)),
+                });
+            }
+            let puts: Vec<Fault> = (0..rng.random_range(0..3))
+                .map(|i| [Fault::Request, Fault::Answer][i % 2].clone())
+                .collect();
+            fake.with(|s| {
+                s.commit_faults = faults.into();
+                s.put_faults = puts.into();
+            });
+            let result = run(&fake, &text, None, n);
+            fake.with(|s| {
+                s.commit_faults.clear();
+                s.put_faults.clear();
+            });
+            let (head, _) = block_on(read_head(&fake)).unwrap().unwrap_or((
+                Head { serial: 0, digest: String::new(), by: String::new(), at: Ms(0) },
+                0,
+            ));
+            let ours = fake.with(|s| {
+                s.rows
+                    .values()
+                    .any(|r| r.key.starts_with("config/history/") && r.txn == format!("txn-{n}"))
+            });
+            match &result {
+                Ok(Applied::Accepted { head: h, .. }) => {
+                    assert!(ours && h.serial == last + 1, "seed {seed} change {n}: {result:?}");
+                }
+                Ok(Applied::Lost { head: h, .. }) => {
+                    assert!(
+                        !ours && h.as_ref() == Some(&head),
+                        "seed {seed} change {n}: {result:?}"
+                    );
+                }
+                Err(e) => assert!(
+                    e.category() == Category::Io && e.to_string().contains("unknown"),
+                    "seed {seed}: {e}"
+                ),
+                other => panic!("seed {seed} change {n}: {other:?}"),
+            }
+            assert!(head.serial >= last, "seed {seed} change {n}: serial went back");
+            if head.serial > 0 {
+                block_on(read_config(&fake, &head.digest)).unwrap();
+            }
+            last = head.serial;
+        }
+        true
+    }
+    property(0x51_0002, 300, holds as fn(u64) -> bool);
+}
+
+// Guards against a loser who overwrites the other's change, or is not told what it was.
+#[test]
+fn the_loser_gets_serial_and_difference() {
+    let fake = Fake::default();
+    assert_eq!(serial(&run(&fake, &document(500), Some(0), 1)), Some(1));
+    let theirs =
+        document(700).replace("[store]", "[[team]]\nname = \"b\"\nrate = 1\nburst = 9\n\n[store]");
+    let race = other(&fake, 2, &theirs, "theirs");
+    fake.with(|s| s.commit_faults.push_back(Fault::Race(race)));
+    let lost = run(&fake, &document(600), None, 2).unwrap();
+    insta::assert_snapshot!(serde_json::to_string_pretty(&lost).unwrap(), @r#"
+{
+  "result": "lost",
+  "head": {
+    "serial": 2,
+    "digest": "74e8a28e4d899a873e160a4839ef5fa6014993cd84ae60e7dd36a23c5c388d19",
+    "by": "other",
+    "at": 5
+  },
+  "changes": [
+    {
+      "section": "team",
+      "entry": "a",
+      "what": "rate",
+      "old": "700",
+      "new": "600"
+    },
+    {
+      "section": "team",
+      "entry": "b",
+      "what": "removed"
+    }
+  ]
+}
+"#);
+    // A stale expectation is refused before any write; the right one is accepted.
+    assert!(matches!(run(&fake, &document(600), Some(1), 3), Ok(Applied::Lost { .. })));
+    assert_eq!(serial(&run(&fake, &document(600), Some(2), 4)), Some(3));
+    assert!(matches!(run(&fake, &document(600), None, 5), Ok(Applied::Unchanged { .. })));
+    let refused = run(&fake, "[[team]]\n", None, 6).unwrap();
+    assert!(matches!(refused, Applied::Refused { ref findings } if findings.len() > 3));
+    assert_eq!(block_on(read_head(&fake)).unwrap().unwrap().0.serial, 3);
+}
+
+// Guards against a history that grows without bound or loses recent changes.
+#[test]
+fn history_keeps_the_latest_changes() {
+    let fake = Fake::default();
+    for n in 1..=HISTORY_KEPT + 5 {
+        assert_eq!(serial(&run(&fake, &document(500 + n), None, n)), Some(n));
+    }
+    let kept = block_on(history(&fake)).unwrap();
+    assert_eq!(kept.len() as u64, HISTORY_KEPT);
+    assert_eq!(kept[0].serial, HISTORY_KEPT + 5);
+}
+
+// Guards against a promotion that changes bytes, accepts damaged ones, or brings an
+// unproved document into production.
+#[test]
+fn promotion_copies_bytes_and_verifies_them() {
+    let (trial, production) = (Fake::default(), Fake::default());
+    let go = |digest: Option<&str>, n| {
+        block_on(promote((&trial, &trial), (&production, &production), digest, None, &stamp(n)))
+    };
+    assert_eq!(go(None, 1).unwrap_err().category(), Category::State);
+    run(&trial, TRIAL, None, 2).unwrap();
+    let unproved = document(500);
+    let unproved = digest_of(unproved.as_bytes());
+    assert_eq!(go(Some(&unproved), 3).unwrap_err().category(), Category::State);
+    assert_eq!(serial(&go(None, 4)), Some(1));
+    let digest = digest_of(TRIAL.as_bytes());
+    assert_eq!(block_on(read_config(&production, &digest)).unwrap(), TRIAL.as_bytes());
+    // An earlier proved document can be promoted by its digest, but not damaged bytes.
+    run(&trial, &document(900), None, 5).unwrap();
+    run(&production, &document(800), None, 6).unwrap();
+    trial.with(|s| s.objects.insert(object_name(&digest), TRIAL.replace("6_000", "9_000").into()));
+    assert_eq!(go(Some(&digest), 7).unwrap_err().category(), Category::Platform);
+    trial.with(|s| s.objects.insert(object_name(&digest), TRIAL.into()));
+    assert_eq!(serial(&go(Some(&digest), 8)), Some(3));
+    trial.with(|s| s.down = true);
+    assert_eq!(go(None, 9).unwrap_err().category(), Category::Io);
+}
+
+// Guards against a withdrawal that leaves the key working, or changes anything else.
+#[test]
+fn withdrawal_is_a_minimal_edit() {
+    for id in ["accounting-2026a", "harbour-2026a", "press-2026a"] {
+        let edited = withdraw("t", TRIAL, id).unwrap().unwrap();
+        let rest: Vec<&str> = edited.lines().collect();
+        let added = rest.iter().zip(TRIAL.lines()).position(|(a, b)| **a != *b).unwrap();
+        assert_eq!(rest[added], "withdrawn = true");
+        let without: Vec<&str> = [&rest[..added], &rest[added + 1..]].concat();
+        assert_eq!(without.join("\n") + "\n", TRIAL);
+        let config = Config::compile(check("t", &edited).document.unwrap(), 1, "");
+        assert!(!config.key_works(&id.into()), "{id}");
+    }
+    assert_eq!(withdraw("t", TRIAL, "accounting-2025b"), Ok(None));
+    assert!(withdraw("t", TRIAL, "absent").is_err());
+    for (text, want) in [
+        ("key = [{id = \"a\"}]", "key = [{id = \"a\", withdrawn = true}]"),
+        (
+            "key = [{team=\"t\", id = \"a\"} ]",
+            "key = [{team=\"t\", id = \"a\", withdrawn = true} ]",
+        ),
+        ("key = [{\n  id = \"a\",\n},\n]", "key = [{\n  id = \"a\", withdrawn = true,\n},\n]"),
+        (
+            "[[key]]\r\n\tid = 'a' # one\r\n",
+            "[[key]]\r\n\tid = 'a' # one\r\n\twithdrawn = true\r\n",
+        ),
+        ("[[key]]\nid = \"a\"", "[[key]]\nid = \"a\"\nwithdrawn = true"),
+        ("[[key]]\nwithdrawn = false\nid = \"a\"\n", "[[key]]\nwithdrawn = true\nid = \"a\"\n"),
+    ] {
+        assert_eq!(withdraw("t", text, "a").unwrap().as_deref(), Some(want));
+    }
+}
