--- /dev/null
+++ b/tests/evidence.rs
@@ -0,0 +1,246 @@
+//! Refusal records, service-level burn, log lines and metrics.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+
+use common::{Fake, Fault, block_on, property};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use sycamorefork::burn::{Burn, WINDOWS};
+use sycamorefork::evidence::{Filter, query, store};
+use sycamorefork::ids::{RequestId, Route, Team};
+use sycamorefork::keys::Secret;
+use sycamorefork::log::{Fields, render};
+use sycamorefork::metrics::{METRICS, Metrics};
+use sycamorefork::platform::Objects;
+use sycamorefork::recorder;
+use sycamorefork::refusal::{Bounds, Ran, Recorder, Refusal, day, instant, parse_instant};
+use sycamorefork::time::{Ms, wall_clock};
+
+const DAY: u64 = 86_400_000;
+/// 2026-12-03T23:59:50Z, shortly before a change of the day.
+const START: u64 = 1_796_342_390_000;
+
+fn refusal(at: u64, n: u64) -> Refusal {
+    let reason = ["over_rate", "no_endpoint", "deadline"][n as usize % 3];
+    let mut r = Refusal::new(Ms(at), format!("req{n}"), "chat", reason, Ran::No);
+    r.team = Some(["a", "b"][n as usize % 2].into());
+    r.fact("level", 12).fact("serial", 7)
+}
+
+// Guards against records that are lost without a gap record, stored twice, kept without
+// bound in an outage or not found by their id, under lost requests and answers and names
+// that are taken.
+#[test]
+fn every_refusal_is_stored_once_or_counted_in_a_gap() {
+    fn holds(seed: u64) -> bool {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let fake = Fake::default();
+        let bounds = Bounds { records: 30, bytes: 6000, batch: 900, age: Ms(4000) };
+        let mut recorder = Recorder::new("n1".into(), bounds);
+        // Another process once used the same node name.
+        fake.with(|s| s.objects.insert(format!("refusals/{}/n1/{:012}", day(START), 0), "".into()));
+        let (mut now, mut ids) = (START, Vec::new());
+        for n in 0..200 {
+            now += rng.random_range(0..800);
+            ids.push(recorder.push(refusal(now, n)));
+            let stats = recorder.stats();
+            assert!(
+                stats.bytes <= 2 * bounds.bytes && stats.records <= 2 * bounds.records,
+                "seed {seed}"
+            );
+            if n % 40 == 0 {
+                fake.with(|s| s.down = rng.random_range(0..2) == 0);
+            }
+            for _ in 0..rng.random_range(0..3) {
+                let fault = [Fault::None, Fault::None, Fault::Request, Fault::Answer]
+                    [rng.random_range(0..4)]
+                .clone();
+                fake.with(|s| s.put_faults.push_back(fault));
+                if let Some(batch) = recorder.next_batch(Ms(now), false) {
+                    let stored = block_on(store(&fake, &batch));
+                    recorder.on_stored(Ms(now), stored);
+                }
+            }
+        }
+        fake.with(|s| {
+            s.down = false;
+            s.put_faults.clear();
+        });
+        while let Some(batch) = recorder.next_batch(Ms(now), true) {
+            let stored = block_on(store(&fake, &batch));
+            recorder.on_stored(Ms(now), stored);
+        }
+        assert!(recorder.is_empty() && recorder.stats().bytes == 0, "seed {seed}");
+        let found = block_on(query(&fake, &Filter::default())).unwrap();
+        let stored: BTreeSet<&str> = found.refusals.iter().map(|r| r.id.as_str()).collect();
+        assert_eq!(stored.len(), found.refusals.len(), "seed {seed}: stored twice");
+        let lost: u64 = found.gaps.iter().map(|g| g.lost).sum();
+        assert_eq!(stored.len() as u64 + lost, 200, "seed {seed}");
+        assert_eq!(lost, recorder.stats().lost, "seed {seed}");
+        assert!(
+            found.gaps.iter().all(|g| g.reasons.values().sum::<u64>() == g.lost),
+            "seed {seed}"
+        );
+        for (n, id) in ids.iter().enumerate().filter(|(n, _)| n % 17 == 0) {
+            let filter = Filter { id: Some(id.clone()), ..Filter::default() };
+            let one = block_on(query(&fake, &filter)).unwrap();
+            let in_gap =
+                found.gaps.iter().any(|g| (g.first..g.first + g.lost).contains(&(n as u64)));
+            assert_eq!(one.refusals.len(), usize::from(!in_gap), "seed {seed}: {id}");
+        }
+        true
+    }
+    property(0x51_0003, 150, holds as fn(u64) -> bool);
+}
+
+// Guards against records that are lost when a node shuts down, and against filters that
+// hide matching records or show others.
+#[test]
+fn shutdown_flushes_and_filters_select() {
+    let fake = Fake::default();
+    let recorder = Arc::new(Mutex::new(Recorder::new("n1".into(), Bounds::default())));
+    for n in 0..6 {
+        recorder.lock().unwrap().push(refusal(START + n * 4000, n));
+    }
+    let left = block_on(async {
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let task = tokio::spawn(recorder::run(recorder.clone(), fake.clone(), stopped));
+        // One more record arrives while the loop runs; it is too young for a batch.
+        tokio::task::yield_now().await;
+        recorder.lock().unwrap().push(refusal(wall_clock().0, 6));
+        stop.send(true).unwrap();
+        task.await.unwrap()
+    });
+    assert_eq!(left, 0);
+    let find = |filter: Filter| block_on(query(&fake, &filter)).unwrap();
+    assert_eq!(find(Filter::default()).refusals.len(), 7);
+    let period = Filter { from: Some(START + 4000), to: Some(START + 20_000), ..Filter::default() };
+    let b = Filter { team: Some("b".into()), ..period.clone() };
+    insta::assert_snapshot!(find(b).text(), @r#"
+2026-12-03T23:59:54.000Z 2026-12-03.n1.1 team=b key=- target=chat reason=no_endpoint ran=no request=req1 level=12 serial=7
+2026-12-04T00:00:02.000Z 2026-12-04.n1.3 team=b key=- target=chat reason=over_rate ran=no request=req3 level=12 serial=7
+"#);
+    assert_eq!(find(Filter { reason: Some("deadline".into()), ..period }).refusals.len(), 1);
+    assert_eq!(find(Filter { id: Some("req5".into()), ..Filter::default() }).refusals.len(), 1);
+    block_on(fake.put_new("refusals/2026-12-04/n1/9", "{broken\n".into())).unwrap();
+    assert_eq!(find(Filter::default()).unreadable, 1);
+    let long = Filter { from: Some(0), to: Some(START), ..Filter::default() };
+    assert!(block_on(query(&fake, &long)).is_err());
+}
+
+// Guards against records filed under a wrong day, which time filters then miss.
+#[test]
+fn days_and_instants_are_those_of_the_calendar() {
+    assert_eq!(instant(0), "1970-01-01T00:00:00.000Z");
+    assert_eq!(instant(START), "2026-12-03T23:59:50.000Z");
+    assert_eq!(day(951_782_400_000), "2000-02-29");
+    assert_eq!(day(4_107_542_400_000), "2100-03-01");
+    for days in 0..60_000 {
+        assert_eq!(parse_instant(&day(days * DAY)).unwrap(), days * DAY);
+    }
+    assert_eq!(parse_instant("2026-12-03T23:59:50Z").unwrap(), START);
+    assert!(parse_instant("yesterday").is_err() && parse_instant("2026-13-01").is_err());
+}
+
+// Guards against burn that counts answers outside the window, forgets answers inside it,
+// or depends on how answers are spread over nodes.
+#[test]
+fn burn_agrees_with_a_plain_count_and_merges_exactly() {
+    fn holds(seed: u64) -> bool {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut nodes = [Burn::default(), Burn::default(), Burn::default()];
+        let mut whole = Burn::default();
+        let mut events = Vec::new();
+        let (teams, routes) =
+            ([Team::from("a"), Team::from("b")], [Route::from("chat"), Route::from("book")]);
+        let mut now = START;
+        for _ in 0..400 {
+            let step = [100, 60_000, 4_000_000][rng.random_range(0..3)];
+            now += rng.random_range(0..step);
+            let (t, r, good) =
+                (rng.random_range(0..2), rng.random_range(0..2), rng.random_range(0..10) > 1);
+            let weight = [1.0, 4.0][r];
+            let node = rng.random_range(0..3);
+            // Answers are not counted in the order of their time.
+            let at = now - rng.random_range(0..5000);
+            nodes[node].record(Ms(at), &teams[t], &routes[r], 0.99, weight, good);
+            whole.record(Ms(at), &teams[t], &routes[r], 0.99, weight, good);
+            events.push((at, t, r, weight, good));
+        }
+        let mut merged = Burn::default();
+        for node in &nodes {
+            // Over the wire, as the operator's client receives it.
+            let wire = serde_json::to_string(node).unwrap();
+            merged.merge(&serde_json::from_str(&wire).unwrap());
+        }
+        let report = merged.report(Ms(now));
+        assert_eq!(report, whole.report(Ms(now)), "seed {seed}");
+        for row in &report.rows {
+            for (w, (_, length)) in row.windows.iter().zip(WINDOWS) {
+                let width = length.0 / 30;
+                let first = (now / width).saturating_sub(29) * width;
+                let sum = |wanted: bool| -> f64 {
+                    let own = |e: &&(u64, usize, usize, f64, bool)| {
+                        teams[e.1] == row.team
+                            && routes[e.2] == row.route
+                            && e.0 >= first
+                            && e.4 == wanted
+                    };
+                    events.iter().filter(own).map(|e| e.3).sum()
+                };
+                assert_eq!((w.good, w.bad), (sum(true), sum(false)), "seed {seed} {}", w.window);
+            }
+        }
+        true
+    }
+    property(0x51_0004, 100, holds as fn(u64) -> bool);
+    let mut burn = Burn::default();
+    for n in 0..1000 {
+        burn.record(Ms(START - n * 20_000), &"a".into(), &"chat".into(), 0.99, 1.0, n % 50 != 0);
+    }
+    burn.record(Ms(START - DAY), &"b".into(), &"ledger".into(), 0.999, 4.0, true);
+    insta::assert_snapshot!(burn.report(Ms(START)).text(), @r#"
+team             route            objective         5m         1h         6h         3d
+a                chat                  0.99       6.67       2.22       2.00       2.00
+b                ledger               0.999          -          -          -       0.00
+"#);
+}
+
+// Guards against a key in the log, forged fields, and fields that are not separate.
+#[test]
+fn log_lines_are_json_with_fields_and_without_keys() {
+    let secret = Secret::new("sf_not-for-the-log");
+    assert_eq!(format!("{secret} {secret:?} {:?}", Some(&secret)), "[key] [key] Some([key])");
+    let fields = Fields::default().request(RequestId(255)).team(&"a\u{1f}\"b".into());
+    let message = format!("{fields}refused \"x\"\n\u{1f}{{\"team\":\"forged\"}}\u{1f}");
+    let line = render("now", "INFO", "node", &message);
+    assert!(!line.contains('\n'));
+    let line: BTreeMap<String, String> = serde_json::from_str(&line).unwrap();
+    assert_eq!(line["team"], "a\u{1f}\"b");
+    assert_eq!(line["request"], format!("{:032x}", 255));
+    assert!(line["message"].starts_with("refused") && !line.contains_key("attempt"));
+}
+
+// Guards against metric names, tags or values that differ from the documented table.
+#[test]
+fn metrics_have_the_documented_form() {
+    let (rx, sink) = cadence::SpyMetricSink::new();
+    let metrics = Metrics::with_sink(sink);
+    metrics.refusals(2, "a", "over_rate");
+    metrics.first_token(340, "chat");
+    metrics.serial(7);
+    let sent: Vec<String> = rx.iter().take(3).map(|m| String::from_utf8(m).unwrap()).collect();
+    insta::assert_snapshot!(sent.join("\n"), @r#"
+sycamorefork.refusals:2|c|#team:a,reason:over_rate
+sycamorefork.first_token:340|h|#route:chat
+sycamorefork.serial:7|g
+"#);
+    let names: Vec<&str> = METRICS.iter().map(|m| m.name).collect();
+    let mut sorted = names.clone();
+    sorted.sort_unstable();
+    sorted.dedup();
+    assert_eq!(names, sorted, "names are unique and in order");
+}
