--- a/src/check.rs
+++ b/src/check.rs
@@ -276,19 +276,11 @@
     }
 }
 
-fn store(r: &mut Report<'_>, top: &Section<'_>) -> StoreDoc {
-    match top.section(r, "store", "the weight store", STORE) {
-        Some(s) => StoreDoc { loads: s.number(r, "loads"), concurrent: s.count(r, "concurrent") },
-        None => {
-            if !top.has("store") {
-                r.add(
-                    0,
-                    "E003",
-                    "the document has no `store`",
-                    "add [store] with `loads` per second and `concurrent` loads",
-                );
-            }
-            StoreDoc::default()
-        }
+fn store(r: &mut Report<'_>, top: &Section<'_>) -> Option<StoreDoc> {
+    if !top.has("store") {
+        let remedy = "add [store] with `loads` per second and `concurrent` loads";
+        r.add(0, "E003", "the document has no `store`", remedy);
     }
+    let s = top.section(r, "store", "the weight store", STORE)?;
+    Some(StoreDoc { loads: s.number(r, "loads"), concurrent: s.count(r, "concurrent") })
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -269,9 +269,9 @@
                 window: l.window.into_inner(),
             });
         }
-        config.store = Some(StoreSpec {
-            loads: document.store.loads.into_inner(),
-            concurrent: document.store.concurrent.into_inner(),
+        config.store = document.store.map(|s| StoreSpec {
+            loads: s.loads.into_inner(),
+            concurrent: s.concurrent.into_inner(),
         });
         config
     }
--- a/src/document.rs
+++ b/src/document.rs
@@ -27,8 +27,8 @@
     pub routes: Vec<RouteDoc>,
     /// Service levels.
     pub levels: Vec<LevelDoc>,
-    /// Limits of the weight store.
-    pub store: StoreDoc,
+    /// Limits of the weight store; every accepted document has them.
+    pub store: Option<StoreDoc>,
 }
 
 /// A team.
@@ -186,9 +186,3 @@
     /// Loads in flight at full speed.
     pub concurrent: At<u64>,
 }
-
-impl Default for StoreDoc {
-    fn default() -> Self {
-        Self { loads: Spanned::new(0..0, 1.0), concurrent: Spanned::new(0..0, 1) }
-    }
-}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,13 +59,15 @@
         check_route(r, d, route);
     }
     levels(r, d);
-    let loads = *d.store.loads.get_ref();
-    if given(&d.store.loads) && !(loads > 0.0 && loads <= MOST_LOADS) {
-        let at = d.store.loads.span().start;
-        let message = format!("`loads` must be above 0 and at most {MOST_LOADS} loads/s");
-        r.add(at, "E020", message, "write the rate that the weight store allows");
+    if let Some(store) = &d.store {
+        let loads = *store.loads.get_ref();
+        if given(&store.loads) && !(loads > 0.0 && loads <= MOST_LOADS) {
+            let at = store.loads.span().start;
+            let message = format!("`loads` must be above 0 and at most {MOST_LOADS} loads/s");
+            r.add(at, "E020", message, "write the rate that the weight store allows");
+        }
+        range(r, "concurrent", &store.concurrent, 1, 100_000, "loads");
     }
-    range(r, "concurrent", &d.store.concurrent, 1, 100_000, "loads");
 }
 
 /// Whether the text may be a name.
