Harden refusal records, add load_config and routing warnings

A wall clock that was set back delayed batches and back-off until it had caught up; waits are now bounded by their own length. Callers' texts in a record are shortened and escaped, and keys in them removed.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -74,16 +74,19 @@
 /// `check`: findings of documents and settings.
 pub fn check(mut args: Arguments) -> Done {
     let settings: Vec<PathBuf> = args.values_from_str("--settings")?;
+    let clients: Vec<PathBuf> = args.values_from_str("--client")?;
     let documents = free(args)?;
-    if documents.is_empty() && settings.is_empty() {
+    if documents.is_empty() && settings.is_empty() && clients.is_empty() {
         return Err(usage("name a document or settings to check"));
     }
     let mut findings = Vec::new();
     for path in &documents {
         findings.extend(check_document(&path.display().to_string(), &read(path)?).findings);
     }
-    for path in &settings {
-        findings.extend(Settings::check(&path.display().to_string(), &read(path)?).findings);
+    let nodes = settings.iter().map(|p| (p, Purpose::Node));
+    for (path, purpose) in nodes.chain(clients.iter().map(|p| (p, Purpose::Client))) {
+        let (source, text) = (path.display().to_string(), read(path)?);
+        findings.extend(Settings::check_for(&source, &text, purpose).findings);
     }
     let mut output = findings_output(&findings);
     let errors = findings.iter().filter(|f| f.code.starts_with('E')).count();
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -118,7 +118,9 @@
             let team = r.team.as_ref().map_or("-", |t| t.as_str());
             let key = r.key.as_ref().map_or("-", |k| k.as_str());
             let (at, ran) = (instant(r.at), r.ran.as_str());
-            let _ = write!(out, "{at} {} team={team} key={key} target={}", r.id, r.target);
+            // Targets come from callers; escapes keep them from controlling the terminal.
+            let target = r.target.escape_debug();
+            let _ = write!(out, "{at} {} team={team} key={key} target={target}", r.id);
             let _ = write!(out, " reason={} ran={ran} request={}", r.reason, r.request);
             for (name, value) in &r.facts {
                 let _ = write!(out, " {name}={value}");
--- a/src/help.rs
+++ b/src/help.rs
@@ -34,12 +34,13 @@
 ";
 
 const CHECK: &str = "\
-Usage: sycamorefork check [DOCUMENT...] [--settings FILE]...
+Usage: sycamorefork check [DOCUMENT...] [--settings FILE]... [--client FILE]...
 
 Checks documents and settings and prints all findings. Starts nothing and contacts
 no service.
 
   --settings FILE   also check the settings of a node; may be repeated
+  --client FILE     also check settings for operators' commands; may be repeated
 
 Exit codes: 0 accepted (warnings may be printed), 1 errors found, 2 wrong use.
 ";
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -20,10 +20,19 @@
 /// Random bytes of a key. 256 bits cannot be guessed, so the digest needs no salt.
 const KEY_BYTES: usize = 32;
 
-/// A key in memory. `Debug` and `Display` never show it.
-#[derive(Clone, PartialEq, Eq)]
+/// A key in memory. `Debug` and `Display` never show it; `==` takes constant time for
+/// texts of one length.
+#[derive(Clone)]
 pub struct Secret(String);
 
+impl PartialEq for Secret {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.as_bytes().ct_eq(other.0.as_bytes()).into()
+    }
+}
+
+impl Eq for Secret {}
+
 impl Secret {
     /// Wraps a key.
     pub fn new(text: impl Into<String>) -> Self {
--- a/src/log.rs
+++ b/src/log.rs
@@ -13,6 +13,7 @@
 
 use crate::error::{Error, Result};
 use crate::ids::{AttemptId, RequestId, Team};
+use crate::keys;
 use crate::settings::LogSettings;
 
 /// Separates fields from the message. JSON text never contains it unescaped.
@@ -85,6 +86,8 @@
     let split = message.strip_prefix(MARK).and_then(|m| m.split_once(MARK));
     let parsed = split.and_then(|(json, text)| Some((serde_json::from_str(json).ok()?, text)));
     let (fields, message) = parsed.unwrap_or((Fields::default(), message));
+    // A second line of defence, for keys that a caller put into a path or a name.
+    let message = &keys::redact(message);
     let line = Line { at, level, module, fields, message };
     serde_json::to_string(&line).unwrap_or_default()
 }
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -10,9 +10,10 @@
 use sha2::{Digest as _, Sha256};
 
 use crate::check::check;
+use crate::config::Config;
 use crate::diff::{Change, diff};
 use crate::error::{Error, Result};
-use crate::finding::Finding;
+use crate::finding::{Finding, Severity};
 use crate::keys::is_digest;
 use crate::platform::{Commit, Cond, Objects, Op, Row, Table, Txn, Write};
 use crate::time::Ms;
@@ -133,6 +134,26 @@
     Ok(bytes)
 }
 
+/// Reads and compiles the configuration that a head names.
+///
+/// # Errors
+/// As [`read_config`]; also if this version of the program does not accept the
+/// document, which a newer one may have applied.
+pub async fn load_config<O: Objects>(objects: &O, head: &Head) -> Result<Config> {
+    let bytes = read_config(objects, &head.digest).await?;
+    let name = object_name(&head.digest);
+    let text = std::str::from_utf8(&bytes).map_err(|e| Error::input(&name, e))?;
+    let checked = check(&name, text);
+    let document = checked.document.ok_or_else(|| {
+        let error = checked.findings.into_iter().find(|f| f.severity == Severity::Error);
+        error.map_or_else(
+            || Error::input(&name, "not accepted"),
+            |f| Error::Input(f.place, f.message),
+        )
+    })?;
+    Ok(Config::compile(document, head.serial, &head.digest))
+}
+
 /// Accepted changes, newest first, as far as they are kept.
 ///
 /// # Errors
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -13,10 +13,15 @@
 
 use crate::error::{Error, Result};
 use crate::ids::{KeyId, Node, Team, stable_hash};
+use crate::keys::redact;
 use crate::time::Ms;
 
 /// Most reasons that a gap record counts separately.
 const GAP_REASONS: usize = 32;
+/// Characters of a target that are kept.
+const TARGET_CHARS: usize = 200;
+/// Longest line; a refusal with larger facts is recorded without them.
+const LINE_BYTES: usize = 8 << 10;
 /// Bytes that one buffered line costs beside its text.
 const LINE_COST: usize = 64;
 /// Longest back-off after a failed write.
@@ -220,13 +225,20 @@
     }
 
     /// Records a refusal and returns its id, which is valid even if the record is lost.
+    ///
+    /// The target comes from the caller, so it is shortened, and keys in it are removed.
     pub fn push(&mut self, mut refusal: Refusal) -> String {
+        refusal.target = redact(&refusal.target).chars().take(TARGET_CHARS).collect();
         let (seq, at) = (self.next, refusal.at);
         self.next += 1;
         refusal.id = format!("{}.{}.{seq}", day(at), self.node);
         let id = refusal.id.clone();
         let reason = refusal.reason.clone();
-        let text = line(&Record::Refusal(refusal));
+        let mut text = line(&Record::Refusal(refusal.clone()));
+        if text.len() > LINE_BYTES {
+            refusal.facts = BTreeMap::from([("facts_dropped".to_owned(), text.len().into())]);
+            text = line(&Record::Refusal(refusal));
+        }
         let fits = self.lines.len() < self.bounds.records
             && self.stats.bytes + text.len() + LINE_COST <= self.bounds.bytes;
         if fits {
@@ -272,7 +284,8 @@
     ///
     /// Returns the same batch until [`Recorder::on_stored`] reports success.
     pub fn next_batch(&mut self, now: Ms, flush: bool) -> Option<Batch> {
-        if now < self.wait_until && !flush {
+        // The wall clock may be set back; no wait is longer than the longest back-off.
+        if now < self.wait_until && self.wait_until - now <= LONGEST_WAIT && !flush {
             return None;
         }
         if self.flight.is_none() {
@@ -280,7 +293,7 @@
                 self.close_gap();
             }
             let oldest = self.lines.front()?;
-            let due = now.0 >= oldest.at.saturating_add(self.bounds.age.0)
+            let due = now.0.abs_diff(oldest.at) >= self.bounds.age.0
                 || self.stats.bytes >= self.bounds.batch;
             if !(due || flush) {
                 return None;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,9 +45,7 @@
     }
     teams(r, d);
     keys(r, d);
-    for m in &d.models {
-        range(r, "context", &m.context, 1, MOST_CONTEXT, "tokens");
-    }
+    models(r, d);
     adapters(r, d);
     for p in &d.pools {
         if let Serves::Model(model) = p.serves.get_ref() {
@@ -227,6 +225,31 @@
     }
 }
 
+fn models(r: &mut Report<'_>, d: &Document) {
+    for m in &d.models {
+        range(r, "context", &m.context, 1, MOST_CONTEXT, "tokens");
+        let at = m.name.span().start;
+        let serves = |p: &At<String>| {
+            let pool = d.pools.iter().find(|x| x.name == *p).map(|x| x.serves.get_ref());
+            matches!(pool, Some(Serves::Model(x)) if x == m.name.get_ref())
+        };
+        let routes: Vec<&RouteDoc> =
+            d.routes.iter().filter(|x| x.kind == RouteKind::Engine && serves(&x.pool)).collect();
+        let mut keyed: Vec<&str> =
+            routes.iter().filter(|x| !x.open).map(|x| x.name.get_ref().as_str()).collect();
+        keyed.sort_unstable();
+        if routes.is_empty() {
+            let message = format!("model `{}` is served by no route", m.name);
+            r.add(at, "W107", message, "add a pool and an engine route, or remove the model");
+        }
+        if let [first, _, ..] = keyed.as_slice() {
+            let message = format!("model `{}` has several routes that need a key", m.name);
+            let remedy = format!("keep one; `/v1` requests use `{first}`, the first by name");
+            r.add(at, "W108", message, remedy);
+        }
+    }
+}
+
 fn adapters(r: &mut Report<'_>, d: &Document) {
     let shared = d.adapters.iter().map(|a| &a.shared);
     for s in shared.chain(d.families.iter().map(|f| &f.shared)) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,8 +227,13 @@
 
     /// Checks the text of a node's settings without opening other files.
     pub fn check(source: &str, text: &str) -> CheckedSettings {
+        Self::check_for(source, text, Purpose::Node)
+    }
+
+    /// Checks the text of settings for a purpose without opening other files.
+    pub fn check_for(source: &str, text: &str, purpose: Purpose) -> CheckedSettings {
         // A file that is not opened counts as a secret of sufficient length.
-        Self::check_with(source, text, Purpose::Node, |_| Ok("-".repeat(SECRET_BYTES)))
+        Self::check_with(source, text, purpose, |_| Ok("-".repeat(SECRET_BYTES)))
     }
 
     fn check_with(
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -157,6 +157,7 @@
     assert_eq!(json["findings"][0]["code"], "E003");
     assert_eq!(json["findings"][0]["severity"], "error");
     assert_eq!(bench.run("apply %bad.toml --settings %trial.toml").0, REFUSED);
+    assert_eq!(bench.run("check --client %trial.toml").0, OK);
     assert_eq!(bench.run("check %absent.toml").0, REFUSED);
     assert_eq!(bench.run("serve --settings %trial.toml").0, REFUSED);
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -134,6 +134,8 @@
     remedy: remove it; known fields are id, team, digest, withdrawn
 bad.toml:22:10: error E031: a key stands here in clear text
     remedy: treat this key as disclosed: remove it, issue a new one with `sycamorefork keys new` and store only the digest
+bad.toml:25:8: warning W107: model `base` is served by no route
+    remedy: add a pool and an engine route, or remove the model
 bad.toml:29:8: error E012: this is not a valid adapter name
     remedy: use up to 96 of the characters a-z, A-Z, 0-9, `-`, `_` and `.`, not starting with `.`
 bad.toml:30:9: error E011: no model is named `bass`
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -45,6 +45,9 @@
         let (mut now, mut ids) = (START, Vec::new());
         for n in 0..200 {
             now += rng.random_range(0..800);
+            if rng.random_range(0..100) == 0 {
+                now -= 3_600_000; // The wall clock is set back.
+            }
             ids.push(recorder.push(refusal(now, n)));
             let stats = recorder.stats();
             assert!(
@@ -69,9 +72,12 @@
             s.down = false;
             s.put_faults.clear();
         });
-        while let Some(batch) = recorder.next_batch(Ms(now), true) {
-            let stored = block_on(store(&fake, &batch));
-            recorder.on_stored(Ms(now), stored);
+        for _ in 0..200 {
+            now += 31_000;
+            while let Some(batch) = recorder.next_batch(Ms(now), false) {
+                let stored = block_on(store(&fake, &batch));
+                recorder.on_stored(Ms(now), stored);
+            }
         }
         assert!(recorder.is_empty() && recorder.stats().bytes == 0, "seed {seed}");
         let found = block_on(query(&fake, &Filter::default())).unwrap();
@@ -97,7 +103,8 @@
 }
 
 // Guards against records that are lost when a node shuts down, and against filters that
-// hide matching records or show others.
+// hide matching records or show others, and against callers' texts that fill the buffer
+// or reach the terminal.
 #[test]
 fn shutdown_flushes_and_filters_select() {
     let fake = Fake::default();
@@ -127,6 +134,14 @@
     assert_eq!(find(Filter { id: Some("req5".into()), ..Filter::default() }).refusals.len(), 1);
     block_on(fake.put_new("refusals/2026-12-04/n1/9", "{broken\n".into())).unwrap();
     assert_eq!(find(Filter::default()).unreadable, 1);
+    let mut hostile = refusal(START, 0).fact("note", "x".repeat(100_000));
+    hostile.target = format!("sf_0123456789abcdefghij{}\u{1b}[2J", "y".repeat(50));
+    let mut recorder = Recorder::new("n2".into(), Bounds::default());
+    recorder.push(hostile);
+    let batch = recorder.next_batch(Ms(START), true).unwrap();
+    block_on(store(&fake, &batch));
+    let shown = find(Filter { id: Some("req0".into()), ..Filter::default() }).text();
+    assert!(shown.len() < 1000 && !shown.contains("sf_") && !shown.contains('\u{1b}'), "{shown}");
     let long = Filter { from: Some(0), to: Some(START), ..Filter::default() };
     assert!(block_on(query(&fake, &long)).is_err());
 }
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -8,8 +8,8 @@
 use sycamorefork::check::check;
 use sycamorefork::config::Config;
 use sycamorefork::operate::{
-    Applied, HEAD, HISTORY_KEPT, Head, Stamp, apply, digest_of, history, object_name, promote,
-    read_config, read_head,
+    Applied, HEAD, HISTORY_KEPT, Head, Stamp, apply, digest_of, history, load_config, object_name,
+    promote, read_config, read_head,
 };
 use sycamorefork::platform::{Cond, Txn, Write};
 use sycamorefork::time::Ms;
@@ -110,7 +110,8 @@
             }
             assert!(head.serial >= last, "seed {seed} change {n}: serial went back");
             if head.serial > 0 {
-                block_on(read_config(&fake, &head.digest)).unwrap();
+                let config = block_on(load_config(&fake, &head)).unwrap();
+                assert_eq!(config.serial(), head.serial);
             }
             last = head.serial;
         }
