--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,8 +227,13 @@
 
     /// Checks the text of a node's settings without opening other files.
     pub fn check(source: &str, text: &str) -> CheckedSettings {
+        Self::check_for(source, text, Purpose::Node)
+    }
+
+    /// Checks the text of settings for a purpose without opening other files.
+    pub fn check_for(source: &str, text: &str, purpose: Purpose) -> CheckedSettings {
         // A file that is not opened counts as a secret of sufficient length.
-        Self::check_with(source, text, Purpose::Node, |_| Ok("-".repeat(SECRET_BYTES)))
+        Self::check_with(source, text, purpose, |_| Ok("-".repeat(SECRET_BYTES)))
     }
 
     fn check_with(
@@ -239,7 +244,7 @@
     ) -> CheckedSettings {
         let mut report = Report::new(source, text);
         let tree = parse(&mut report, text);
-        let top = Section::new(&mut report, tree.get_ref(), 0..0, "the settings", TOP);
+        let top = Section::top(&mut report, tree.get_ref(), 0, "the settings", TOP);
         let settings = Reader { r: &mut report, purpose, files }.settings(&top);
         let findings = report.into_findings();
         let settings = settings.filter(|_| !has_errors(&findings));
