Add the platform stand-in and the load tool

The platform stand-in serves the DynamoDB and S3 subsets with their rate limits, a lagging machine list and a weight store that times loads. The load tool starts requests at planned instants and measures from them, so that a stalled node shows in the latency instead of lowering the rate.

--- a/src/http.rs
+++ b/src/http.rs
@@ -28,6 +28,9 @@
 /// Time that the rest of a finished answer may take to arrive.
 const DRAIN: Duration = Duration::from_secs(1);
 
+/// Body of a request.
+pub type Sent = Full<Bytes>;
+
 /// Bounds of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpSettings {
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the platform, and a load tool.
+//!
+//! The stand-ins for the endpoints are the sample engine and service of the main
+//! package, which its demo uses as well.
+
+pub mod load;
+pub mod platform;
+pub mod report;
+pub mod store;
+pub mod table;
+pub mod weights;
--- /dev/null
+++ b/standin/src/load.rs
@@ -0,0 +1,295 @@
+//! Open-loop load on nodes, with a check of every answer.
+//!
+//! Requests start at planned instants, whether or not earlier ones have ended,
+//! and times count from the planned instant, so that a stalled node shows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use poem::http::{HeaderValue, Method, header};
+use serde_json::{Value, json};
+use sycamorefork::http::{Http, HttpSettings, Whole, request};
+use sycamorefork::ids::stable_hash;
+use sycamorefork::sample::{bytes_digest, expected};
+use sycamorefork::sse::Sse;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::report::{End, Outcome, Report};
+
+/// A caller's key and the models that it asks for.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The key.
+    pub key: String,
+    /// Models in order of popularity.
+    pub models: Vec<String>,
+}
+
+/// One load run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Nodes, used in turn.
+    pub targets: Vec<SocketAddr>,
+    /// Requests per second over all targets.
+    pub rate: f64,
+    /// Length of the run.
+    pub time: Duration,
+    /// Callers; one is drawn for each request.
+    pub callers: Vec<Caller>,
+    /// Shares of streams, whole answers and service calls.
+    pub mix: [u64; 3],
+    /// Path of the service calls.
+    pub service: String,
+    /// Percentage of service calls that are sent twice at once, to two targets.
+    pub repeat: u64,
+    /// Most tokens of an answer.
+    pub tokens: u64,
+    /// Time for one request.
+    pub deadline: Duration,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// What the request with a number is.
+struct Draw {
+    seed: String,
+    number: String,
+}
+
+impl Draw {
+    fn below(&self, what: &str, bound: u64) -> u64 {
+        stable_hash(&[&self.seed, &self.number, what]) % bound.max(1)
+    }
+}
+
+/// Runs a plan.
+pub async fn run(plan: Plan) -> Report {
+    let (seed, seconds) = (plan.seed, plan.time.as_secs_f64());
+    let count = (plan.rate * seconds) as u64;
+    let plan = Arc::new(plan);
+    let http = Http::new(HttpSettings { pool: 1024, ..HttpSettings::default() });
+    let begin = Instant::now();
+    let mut tasks = JoinSet::new();
+    for number in 0..count {
+        let start = begin + Duration::from_secs_f64(number as f64 / plan.rate);
+        sleep_until(start).await;
+        tasks.spawn(one(plan.clone(), http.clone(), number, start));
+    }
+    let mut outcomes = Vec::new();
+    while let Some(result) = tasks.join_next().await {
+        outcomes.extend(result.unwrap_or_default());
+    }
+    Report::of(seed, seconds, outcomes)
+}
+
+async fn one(plan: Arc<Plan>, http: Http, number: u64, start: Instant) -> Vec<Outcome> {
+    let draw = Draw { seed: plan.seed.to_string(), number: number.to_string() };
+    let target = |n: u64| plan.targets[(n % plan.targets.len() as u64) as usize];
+    let key = draw.below("caller", plan.callers.len() as u64) as usize;
+    let caller = &plan.callers[key];
+    let kind = draw.below("kind", plan.mix.iter().sum());
+    let sender = Sender { plan: &plan, http: &http, caller, key, start };
+    if kind >= plan.mix[0] + plan.mix[1] {
+        let booking = format!("{}-{number}", plan.seed);
+        if draw.below("repeat", 100) >= plan.repeat {
+            return vec![sender.service(target(number), &booking, "service").await.0];
+        }
+        let (one, two) = tokio::join!(
+            sender.service(target(number), &booking, "repeat"),
+            sender.service(target(number + 1), &booking, "repeat"),
+        );
+        let ((one, first), (mut two, second)) = (one, two);
+        if let (Some(first), Some(second)) = (first, second)
+            && first != second
+        {
+            two.end = End::Wrong(format!("booking {booking}: answers {first} and {second}"));
+        }
+        return vec![one, two];
+    }
+    // Squaring the draw makes the first models the popular ones.
+    let share = draw.below("model", 1000) as f64 / 1000.0;
+    let model = &caller.models[(share * share * caller.models.len() as f64) as usize];
+    let chat = draw.below("chat", 2) == 0;
+    let content = format!("request {number} of run {}", plan.seed);
+    let mut body = json!({ "model": model, "max_tokens": 1 + draw.below("tokens", plan.tokens) });
+    match chat {
+        true => body["messages"] = json!([{ "role": "user", "content": content }]),
+        false => body["prompt"] = content.into(),
+    }
+    let path = if chat { "/v1/chat/completions" } else { "/v1/completions" };
+    vec![match kind < plan.mix[0] {
+        true => sender.stream(target(number), path, body).await,
+        false => sender.whole(target(number), path, &body).await,
+    }]
+}
+
+struct Sender<'a> {
+    plan: &'a Plan,
+    http: &'a Http,
+    caller: &'a Caller,
+    key: usize,
+    start: Instant,
+}
+
+impl Sender<'_> {
+    fn deadline(&self) -> Instant {
+        self.start + self.plan.deadline
+    }
+
+    fn outcome(&self, kind: &'static str) -> Outcome {
+        Outcome { kind, key: self.key, ..Outcome::default() }
+    }
+
+    fn millis(&self) -> f64 {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn request(
+        &self,
+        path: &str,
+        body: &Value,
+        name: Option<&str>,
+    ) -> Option<poem::http::Request<sycamorefork::http::Sent>> {
+        let body = Bytes::from(body.to_string());
+        let mut req = request(Method::POST, path, body).ok()?;
+        let headers = req.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let bearer = format!("Bearer {}", self.caller.key);
+        headers.insert(header::AUTHORIZATION, HeaderValue::from_str(&bearer).ok()?);
+        if let Some(name) = name {
+            headers.insert("idempotency-key", HeaderValue::from_str(name).ok()?);
+        }
+        Some(req)
+    }
+
+    async fn fetch(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &Value,
+        name: Option<&str>,
+    ) -> Option<Whole> {
+        let req = self.request(path, body, name)?;
+        self.http.fetch(addr, req, self.deadline()).await.ok()
+    }
+
+    /// A service call, and the attempt that its answer names.
+    async fn service(
+        &self,
+        addr: SocketAddr,
+        booking: &str,
+        kind: &'static str,
+    ) -> (Outcome, Option<String>) {
+        let mut outcome = self.outcome(kind);
+        let body = json!({ "booking": booking });
+        let whole = self.fetch(addr, &self.plan.service, &body, Some(booking)).await;
+        outcome.latency = self.millis();
+        let Some(whole) = whole else { return (outcome, None) };
+        if !whole.status.is_success() {
+            outcome.end = refused(&whole);
+            return (outcome, None);
+        }
+        let answer: Value = serde_json::from_slice(&whole.body).unwrap_or_default();
+        let digest = bytes_digest(body.to_string().as_bytes());
+        outcome.end = match answer["digest"] == digest.as_str() {
+            true => End::Right,
+            false => End::Wrong(format!("booking {booking}: {answer}")),
+        };
+        (outcome, answer["attempt"].as_str().map(str::to_owned))
+    }
+
+    async fn whole(&self, addr: SocketAddr, path: &str, body: &Value) -> Outcome {
+        let mut outcome = self.outcome("whole");
+        let whole = self.fetch(addr, path, body, None).await;
+        outcome.latency = self.millis();
+        let Some(whole) = whole else { return outcome };
+        if !whole.status.is_success() {
+            outcome.end = refused(&whole);
+            return outcome;
+        }
+        let answer: Value = serde_json::from_slice(&whole.body).unwrap_or_default();
+        let choice = &answer["choices"][0];
+        let text = choice["message"]["content"].as_str().or_else(|| choice["text"].as_str());
+        outcome.tokens = answer["usage"]["completion_tokens"].as_u64().unwrap_or(0);
+        let model = answer["model"].as_str().unwrap_or_default();
+        outcome.end = check(body, model, text.unwrap_or_default());
+        outcome
+    }
+
+    async fn stream(&self, addr: SocketAddr, path: &str, mut body: Value) -> Outcome {
+        let mut outcome = self.outcome("stream");
+        body["stream"] = true.into();
+        body["stream_options"] = json!({ "include_usage": true });
+        let Some(req) = self.request(path, &body, None) else { return outcome };
+        let Ok(mut answer) = self.http.send(addr, req, self.deadline()).await else {
+            outcome.latency = self.millis();
+            return outcome;
+        };
+        if !answer.status.is_success() {
+            if let Ok(whole) = answer.whole(self.deadline()).await {
+                outcome.end = refused(&whole);
+            }
+            outcome.latency = self.millis();
+            return outcome;
+        }
+        let (mut sse, mut text, mut model) = (Sse::default(), String::new(), String::new());
+        let mut last = None;
+        let mut done = false;
+        while !done {
+            let Ok(Some(Ok(chunk))) = timeout_at(self.deadline(), answer.chunk()).await else {
+                break;
+            };
+            sse.push(&chunk);
+            while let Some(data) = sse.next_event() {
+                if data.as_ref() == b"[DONE]" {
+                    done = true;
+                    break;
+                }
+                let event: Value = serde_json::from_slice(&data).unwrap_or_default();
+                let choice = &event["choices"][0];
+                let token = choice["delta"]["content"].as_str().or_else(|| choice["text"].as_str());
+                let Some(token) = token.filter(|t| !t.is_empty()) else { continue };
+                text.push_str(token);
+                model = event["model"].as_str().unwrap_or_default().to_owned();
+                outcome.tokens += 1;
+                let now = self.millis();
+                match last.replace(now) {
+                    None => outcome.first = Some(now),
+                    Some(before) => outcome.gaps.push(now - before),
+                }
+            }
+        }
+        outcome.latency = self.millis();
+        if done {
+            outcome.end = check(&body, &model, &text);
+            answer.drain();
+        }
+        outcome
+    }
+}
+
+/// Compares an answer with what the sample engine generates for the request.
+///
+/// A request that names no version is checked against the version that ran.
+fn check(body: &Value, model: &str, text: &str) -> End {
+    let asked = body["model"].as_str().unwrap_or_default();
+    let same = match asked.contains('@') {
+        true => asked == model,
+        false => model.split('@').next() == Some(asked),
+    };
+    let mut ran = body.clone();
+    ran["model"] = model.into();
+    match same && expected(&ran) == text {
+        true => End::Right,
+        false => End::Wrong(format!("asked {body}, answered by {model:?}: {text}")),
+    }
+}
+
+fn refused(whole: &Whole) -> End {
+    let body: Value = serde_json::from_slice(&whole.body).unwrap_or_default();
+    let text = |name: &str| body["error"][name].as_str().unwrap_or("-").to_owned();
+    End::Refused(format!("{} {} ran={}", whole.status.as_u16(), text("code"), text("ran")))
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,1 +1,201 @@
-fn main() {}
+//! Stand-ins for the platform and the endpoints, and a load tool.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::Duration;
+
+use pico_args::Arguments;
+use standin::load::{Caller, Plan, run};
+use standin::platform::{Platform, PlatformSpec};
+use standin::weights::WeightSpec;
+use sycamorefork::faulty::Running;
+use sycamorefork::sample::{EngineSpec, SampleEngine};
+use sycamorefork::sample_service::{SampleService, ServiceSpec};
+use sycamorefork::time::Ms;
+
+const HELP: &str = "\
+Stand-ins for the platform and the endpoints, and a load tool.
+
+standin platform --listen ADDR [--writes N/S] [--reads N/S] [--page N] [--lag MS]
+        [--loads N/S] [--parallel N] [--load-ms MS] [--knee N]
+standin endpoint --listen ADDR --name N [--role engine|service] [--checks-fence]
+        engine: [--base MODEL] [--slots N] [--batch N] [--load-ms MS] [--first-ms MS]
+                [--rate TOKENS/S] [--no-resume] [--lag MS] [--weights ADDR]
+        service: [--time-ms MS]
+standin load --targets ADDR,ADDR --rate N/S --seconds S --keys FILE|KEY,KEY
+        [--models M,M] [--mix STREAM:WHOLE:SERVICE] [--service PATH] [--repeat PERCENT]
+        [--tokens N] [--deadline-ms MS] [--seed N]
+
+A key is KEY or KEY=MODEL+MODEL; a file has one per line. Keys without models use
+--models. Servers print `listening on ADDR` as their first line; port 0 chooses one.
+The load tool prints a JSON report; its exit code is 1 if an answer was wrong.
+";
+
+fn main() -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let command = args.subcommand().ok().flatten().unwrap_or_default();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(&e.to_string()),
+    };
+    let result = match command.as_str() {
+        "platform" => runtime.block_on(platform(args)),
+        "endpoint" => runtime.block_on(endpoint(args)),
+        "load" => runtime.block_on(load(args)),
+        _ => Err(format!("unknown command {command:?}; see --help")),
+    };
+    match result {
+        Ok(code) => code,
+        Err(e) => fail(&e),
+    }
+}
+
+fn fail(reason: &str) -> ExitCode {
+    eprintln!("standin: {reason}");
+    ExitCode::from(2)
+}
+
+type Result<T> = std::result::Result<T, String>;
+
+/// The value of an option, or a default.
+fn option<T: FromStr>(args: &mut Arguments, name: &'static str, default: T) -> Result<T> {
+    let text: Option<String> = args.opt_value_from_str(name).map_err(|e| e.to_string())?;
+    match text {
+        None => Ok(default),
+        Some(text) => text.parse().map_err(|_| format!("{name}: {text:?} is not valid")),
+    }
+}
+
+fn required<T: FromStr>(args: &mut Arguments, name: &'static str) -> Result<T> {
+    let text: String = args.value_from_str(name).map_err(|e| e.to_string())?;
+    text.parse().map_err(|_| format!("{name}: {text:?} is not valid"))
+}
+
+fn rest(args: Arguments) -> Result<()> {
+    match args.finish().first() {
+        Some(extra) => Err(format!("unexpected argument {extra:?}")),
+        None => Ok(()),
+    }
+}
+
+async fn announce(running: std::io::Result<Running>) -> Result<ExitCode> {
+    let running = running.map_err(|e| e.to_string())?;
+    println!("listening on {}", running.addr);
+    running.wait().await.map_err(|e| e.to_string())?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn platform(mut args: Arguments) -> Result<ExitCode> {
+    let listen = required(&mut args, "--listen")?;
+    let default = PlatformSpec::default();
+    let (weights, lag) = (default.weights, default.lag.as_millis() as u64);
+    let load = weights.time.as_millis() as u64;
+    let spec = PlatformSpec {
+        writes: option(&mut args, "--writes", default.writes)?,
+        reads: option(&mut args, "--reads", default.reads)?,
+        page: option(&mut args, "--page", default.page)?,
+        lag: Duration::from_millis(option(&mut args, "--lag", lag)?),
+        weights: WeightSpec {
+            rate: option(&mut args, "--loads", weights.rate)?,
+            parallel: option(&mut args, "--parallel", weights.parallel)?,
+            time: Duration::from_millis(option(&mut args, "--load-ms", load)?),
+            knee: option(&mut args, "--knee", weights.knee)?,
+        },
+    };
+    rest(args)?;
+    announce(Platform::new(spec).serve(listen).await).await
+}
+
+async fn endpoint(mut args: Arguments) -> Result<ExitCode> {
+    let listen: SocketAddr = required(&mut args, "--listen")?;
+    let name: String = required(&mut args, "--name")?;
+    let role = option(&mut args, "--role", "engine".to_owned())?;
+    let fenced = args.contains("--checks-fence");
+    match role.as_str() {
+        "engine" => {
+            let default = EngineSpec::default();
+            let weights: Option<String> =
+                args.opt_value_from_str("--weights").map_err(|e| e.to_string())?;
+            let spec = EngineSpec {
+                name,
+                fenced,
+                base: option(&mut args, "--base", default.base)?,
+                slots: option(&mut args, "--slots", default.slots)?,
+                batch: option(&mut args, "--batch", default.batch)?,
+                load: Ms(option(&mut args, "--load-ms", default.load.0)?),
+                first: Ms(option(&mut args, "--first-ms", default.first.0)?),
+                rate: option(&mut args, "--rate", default.rate)?,
+                resumable: !args.contains("--no-resume"),
+                lag: Ms(option(&mut args, "--lag", default.lag.0)?),
+                weights: weights
+                    .map(|text| text.parse().map_err(|_| format!("--weights: {text:?}")))
+                    .transpose()?,
+            };
+            rest(args)?;
+            announce(SampleEngine::new(spec).serve(listen).await).await
+        }
+        "service" => {
+            let time = Ms(option(&mut args, "--time-ms", ServiceSpec::default().time.0)?);
+            rest(args)?;
+            announce(SampleService::new(ServiceSpec { name, time, fenced }).serve(listen).await)
+                .await
+        }
+        _ => Err(format!("--role: {role:?} is not valid")),
+    }
+}
+
+async fn load(mut args: Arguments) -> Result<ExitCode> {
+    let targets: String = required(&mut args, "--targets")?;
+    let targets = targets
+        .split(',')
+        .map(|t| t.parse().map_err(|_| format!("--targets: {t:?} is not valid")))
+        .collect::<Result<Vec<SocketAddr>>>()?;
+    let keys: String = required(&mut args, "--keys")?;
+    let models = option(&mut args, "--models", "base".to_owned())?;
+    let mix = option(&mut args, "--mix", "2:1:1".to_owned())?;
+    let shares: Vec<u64> = mix.split(':').filter_map(|s| s.parse().ok()).collect();
+    let mix = <[u64; 3]>::try_from(shares).map_err(|_| format!("--mix: {mix:?} is not valid"))?;
+    let plan = Plan {
+        targets,
+        rate: required(&mut args, "--rate")?,
+        time: Duration::from_secs_f64(required(&mut args, "--seconds")?),
+        callers: callers(&keys, &models)?,
+        mix,
+        service: option(&mut args, "--service", "/services/bookings/book".to_owned())?,
+        repeat: option(&mut args, "--repeat", 0)?,
+        tokens: option(&mut args, "--tokens", 32)?,
+        deadline: Duration::from_millis(option(&mut args, "--deadline-ms", 30_000)?),
+        seed: option(&mut args, "--seed", 1)?,
+    };
+    rest(args)?;
+    let report = run(plan).await;
+    println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+    Ok(if report.total.wrong > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+/// Reads `KEY` or `KEY=MODEL+MODEL` from a list, or from the lines of a file.
+fn callers(keys: &str, models: &str) -> Result<Vec<Caller>> {
+    let lines: Vec<String> = match std::fs::read_to_string(keys) {
+        Ok(text) => text.lines().map(str::to_owned).collect(),
+        Err(_) => keys.split(',').map(str::to_owned).collect(),
+    };
+    let list = |text: &str, by: char| text.split(by).map(str::to_owned).collect::<Vec<_>>();
+    let callers: Vec<Caller> = lines
+        .iter()
+        .map(|line| line.trim())
+        .filter(|line| !line.is_empty() && !line.starts_with('#'))
+        .map(|line| match line.split_once('=') {
+            Some((key, own)) => Caller { key: key.to_owned(), models: list(own, '+') },
+            None => Caller { key: line.to_owned(), models: list(models, ',') },
+        })
+        .collect();
+    if callers.is_empty() {
+        return Err("--keys: no key".to_owned());
+    }
+    Ok(callers)
+}
