Test the adapters against the stand-ins

A randomised test compares the table adapter with the in-memory table on every outcome and row. Another one lets a server close connections at random points and checks that no request reported as unsent, or moved to another connection, arrived.

--- /dev/null
+++ b/tests/border.rs
@@ -0,0 +1,601 @@
+//! Protocol adapters and endpoint clients against the stand-ins, in one process.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::{HeaderMap, HeaderValue, Method};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use standin::load::{Caller, Plan, run};
+use standin::platform::{Platform, PlatformFault, PlatformSpec};
+use sycamorefork::Category;
+use sycamorefork::dynamo::DynamoTable;
+use sycamorefork::engine::{
+    Broken, Call, Engine, EngineSettings, HttpEngine, OrderError, StartError,
+};
+use sycamorefork::faulty::Running;
+use sycamorefork::http::{Http, HttpSettings};
+use sycamorefork::ids::{AdapterRef, AttemptId};
+use sycamorefork::memory::MemoryTable;
+use sycamorefork::platform::{Commit, Cond, Objects, Op, Row, Table, Txn, Vm, VmList, Write};
+use sycamorefork::s3::S3Objects;
+use sycamorefork::sample::{EngineSpec, Fault, SampleEngine, expected};
+use sycamorefork::sample_service::{SampleService, ServiceSpec};
+use sycamorefork::service::{HttpService, Service, ServiceCall, forwarded};
+use sycamorefork::vmlist::HttpVms;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+const SEED: u64 = 0x5eed_0001;
+
+fn any() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn http() -> Http {
+    Http::new(HttpSettings::default())
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(20)
+}
+
+/// Waits for a condition that must hold at some time.
+async fn eventually(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+async fn platform(spec: PlatformSpec) -> (Platform, Running, DynamoTable, S3Objects) {
+    let platform = Platform::new(spec);
+    let running = platform.serve(any()).await.unwrap();
+    let time = Duration::from_secs(5);
+    let table = DynamoTable::new(http(), running.addr, "main", time);
+    let objects = S3Objects::new(http(), running.addr, "evidence", time);
+    (platform, running, table, objects)
+}
+
+/// No limits that a fast test would meet, and short pages.
+fn unlimited() -> PlatformSpec {
+    PlatformSpec { writes: 1e9, reads: 1e9, page: 3, ..PlatformSpec::default() }
+}
+
+fn put(id: &str, key: &str, cond: Cond) -> Txn {
+    Txn { id: id.to_owned(), writes: vec![Write::put(key, cond, id.to_owned())] }
+}
+
+/// A write whose condition depends on the row's state when it is tried.
+#[derive(Clone, Debug)]
+struct Step {
+    key: u8,
+    cond: u8,
+    op: u8,
+}
+
+#[derive(Clone, Debug)]
+struct Steps(Vec<Vec<Step>>);
+
+impl Arbitrary for Steps {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut txns = Vec::new();
+        for _ in 0..30 {
+            let mut keys: Vec<u8> = (0..6).filter(|_| bool::arbitrary(g)).collect();
+            keys.truncate(4);
+            let step = |key| Step { key, cond: u8::arbitrary(g) % 8, op: u8::arbitrary(g) % 4 };
+            txns.push(keys.into_iter().map(step).collect());
+        }
+        Self(txns)
+    }
+}
+
+async fn rows<T: Table>(table: &T) -> Vec<Row> {
+    let mut rows = table.scan("seat/").await.unwrap();
+    rows.extend(table.scan("node/").await.unwrap());
+    rows
+}
+
+/// Tries a transaction; gives the key of a conflict and the rows afterwards.
+async fn attempt<T: Table>(table: &T, n: usize, steps: &[Step]) -> (Option<String>, Vec<Row>) {
+    let before = rows(table).await;
+    let version = |key: &str| before.iter().find(|r| r.key == key).map(|r| r.version);
+    let mut writes = Vec::new();
+    for step in steps {
+        let key = format!("{}/{}", ["seat", "node"][usize::from(step.key % 2)], step.key);
+        let cond = match (step.cond, version(&key)) {
+            (0, _) => Cond::Absent,
+            (1, Some(v)) => Cond::Version(v - 1),
+            (2, _) => Cond::Any,
+            (_, Some(v)) => Cond::Version(v),
+            (_, None) => Cond::Absent,
+        };
+        writes.push(match step.op {
+            0 => Write::delete(key, cond),
+            1 => Write::check(key, cond),
+            _ => Write::put(key, cond, format!("{n}")),
+        });
+    }
+    let txn = Txn { id: format!("t{n}"), writes };
+    let conflict = match table.commit(&txn).await {
+        Err(e) if txn.writes.is_empty() => Some(format!("{:?}", e.category())),
+        Err(e) => panic!("{e}"),
+        Ok(Commit::Conflict(key)) => Some(key),
+        Ok(Commit::Done(versions)) => {
+            for (write, stated) in txn.writes.iter().zip(versions) {
+                if matches!(write.op, Op::Put(_)) {
+                    let stored = table.get(&write.key).await.unwrap().map(|r| r.version);
+                    assert_eq!(stored, Some(stated), "stated version, transaction {n}");
+                    assert!(stored > version(&write.key), "versions grow, transaction {n}");
+                }
+            }
+            None
+        }
+    };
+    (conflict, rows(table).await)
+}
+
+/// Guards against a condition that is translated wrongly and against transactions
+/// that take effect in part: both tables must agree on every outcome and row.
+#[test]
+fn dynamo_table_agrees_with_memory_table() {
+    fn agrees(steps: Steps) -> bool {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let (_platform, _running, dynamo, _) = platform(unlimited()).await;
+            let memory = MemoryTable::new();
+            let plain = |rows: Vec<Row>| {
+                rows.into_iter().map(|r| (r.key, r.txn, r.value)).collect::<Vec<_>>()
+            };
+            for (n, txn) in steps.0.iter().enumerate() {
+                let (one, there) = attempt(&dynamo, n, txn).await;
+                let (two, here) = attempt(&memory, n, txn).await;
+                assert_eq!(one, two, "seed {SEED:#x}, transaction {n}: {txn:?}");
+                assert_eq!(plain(there), plain(here), "seed {SEED:#x}, transaction {n}: {txn:?}");
+            }
+        });
+        true
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(50, SEED)).tests(12);
+    check.quickcheck(agrees as fn(Steps) -> bool);
+}
+
+/// Guards against an unknown outcome that is reported as a definite one, and a
+/// throttled write that is reported as unknown or takes effect.
+#[tokio::test]
+async fn table_faults_are_classified() {
+    let (platform, _running, table, _) = self::platform(unlimited()).await;
+    let fault = |outage, lose_answers| PlatformFault {
+        service: Some("table".to_owned()),
+        outage: Some(outage),
+        lose_answers: Some(lose_answers),
+        ..PlatformFault::default()
+    };
+    platform.fault(&fault(false, 1));
+    let lost = table.commit(&put("t1", "node/a", Cond::Absent)).await.unwrap_err();
+    assert_eq!(lost.category(), Category::Io);
+    assert_eq!(table.get("node/a").await.unwrap().unwrap().txn, "t1", "the write took effect");
+    platform.fault(&fault(true, 0));
+    let down = table.commit(&put("t2", "node/b", Cond::Absent)).await.unwrap_err();
+    assert_eq!(down.category(), Category::Io);
+    platform.fault(&fault(false, 0));
+    assert_eq!(table.get("node/b").await.unwrap(), None);
+
+    let memory = MemoryTable::new();
+    memory.faults().lose_answers(1);
+    assert!(memory.commit(&put("t1", "node/a", Cond::Absent)).await.is_err());
+    memory.faults().lose_requests(1);
+    assert!(memory.commit(&put("t2", "node/b", Cond::Absent)).await.is_err());
+    memory.faults().set_outage(true);
+    assert!(memory.commit(&put("t3", "node/c", Cond::Absent)).await.is_err());
+    memory.faults().set_outage(false);
+    let rows = memory.scan("node/").await.unwrap();
+    assert_eq!(rows.iter().map(|r| r.txn.as_str()).collect::<Vec<_>>(), ["t1"]);
+
+    let slow = PlatformSpec { writes: 0.001, ..unlimited() };
+    let (platform, _running, table, _) = self::platform(slow).await;
+    let throttled = table.commit(&put("t1", "node/a", Cond::Absent)).await.unwrap_err();
+    assert_eq!((throttled.category(), platform.commits()), (Category::Platform, 0));
+    assert_eq!(table.get("node/a").await.unwrap(), None);
+}
+
+/// Guards against rows and names that are lost between pages or partitions, and
+/// against names that are not encoded on the wire.
+#[tokio::test]
+async fn lists_are_complete_over_pages() {
+    let (_platform, _running, table, objects) = platform(unlimited()).await;
+    let mut keys: Vec<String> = (0..40).map(|n| format!("claim/{n:02}")).collect();
+    for group in keys.chunks(20) {
+        let writes = group.iter().map(|k| Write::put(k, Cond::Absent, "v")).collect();
+        let done = table.commit(&Txn { id: "t".to_owned(), writes }).await.unwrap();
+        assert!(matches!(done, Commit::Done(versions) if versions.len() == 20));
+    }
+    table.commit(&put("t", "claims/other", Cond::Any)).await.unwrap();
+    let scanned = table.scan("claim/").await.unwrap();
+    assert_eq!(scanned.into_iter().map(|r| r.key).collect::<Vec<_>>(), keys);
+    keys.retain(|k| k.starts_with("claim/1"));
+    let scanned = table.scan("claim/1").await.unwrap();
+    assert_eq!(scanned.into_iter().map(|r| r.key).collect::<Vec<_>>(), keys);
+
+    let mut names: Vec<String> = (0..10).map(|n| format!("refusals/day/{n}")).collect();
+    names.extend(["refusals/a&b <c>", "refusals/é+%25 ?#", "refusals/\"q\"'"].map(String::from));
+    names.sort();
+    for name in &names {
+        assert!(objects.put_new(name, Bytes::from(name.clone())).await.unwrap());
+        assert!(!objects.put_new(name, Bytes::from_static(b"other")).await.unwrap());
+        assert_eq!(objects.get(name).await.unwrap().unwrap(), name.as_bytes());
+    }
+    assert!(objects.put_new("other/x", Bytes::new()).await.unwrap());
+    assert_eq!(objects.list("refusals/").await.unwrap(), names);
+    assert_eq!(objects.get("refusals/none").await.unwrap(), None);
+}
+
+/// Guards against a stand-in list that shows changes without its lag.
+#[tokio::test]
+async fn machine_list_lags() {
+    let lag = Duration::from_millis(50);
+    let (platform, running, ..) = platform(PlatformSpec { lag, ..unlimited() }).await;
+    let list = HttpVms::new(http(), running.addr, Duration::from_secs(5));
+    let vm = Vm { name: "e1".to_owned(), addr: any(), role: "engine".to_owned(), leaving: false };
+    let set = Instant::now();
+    platform.set_vms(vec![vm.clone()]);
+    let mut shown = list.list().await.unwrap();
+    while shown.is_empty() {
+        shown = list.list().await.unwrap();
+    }
+    assert!(set.elapsed() >= lag);
+    assert_eq!(shown, [vm]);
+}
+
+struct Bench {
+    sample: SampleEngine,
+    _running: Running,
+    engine: HttpEngine,
+}
+
+async fn bench(spec: EngineSpec) -> Bench {
+    let sample = SampleEngine::new(spec);
+    let running = sample.serve(any()).await.unwrap();
+    let settings = EngineSettings { progress: Duration::from_secs(1), ..Default::default() };
+    let engine = HttpEngine::new(http(), running.addr, settings);
+    Bench { sample, _running: running, engine }
+}
+
+fn body(model: &str, stream: bool, tokens: u64) -> Value {
+    json!({
+        "model": model,
+        "messages": [{ "role": "user", "content": "two words" }],
+        "max_tokens": tokens,
+        "stream": stream,
+        "stream_options": { "include_usage": true },
+    })
+}
+
+fn call(attempt: u128, body: &Value) -> Call {
+    Call {
+        attempt: AttemptId(attempt),
+        fence: 7,
+        path: "/v1/chat/completions".to_owned(),
+        body: Bytes::from(body.to_string()),
+        stream: body["stream"] == true,
+        deadline: soon(),
+        resume: None,
+    }
+}
+
+/// Text, tokens and early end of an answer.
+async fn read(engine: &HttpEngine, call: &Call) -> (String, u64, Option<Broken>) {
+    let mut reply = engine.start(call).await.unwrap();
+    let (mut text, mut tokens) = (String::new(), 0);
+    while let Some(item) = reply.frames.next().await {
+        match item {
+            Ok(frame) => {
+                let json: Value = serde_json::from_slice(&frame.raw).unwrap();
+                let choice = &json["choices"][0];
+                let part = choice["delta"]["content"].as_str();
+                text.push_str(part.or(choice["message"]["content"].as_str()).unwrap_or_default());
+                tokens += frame.tokens;
+            }
+            Err(broken) => return (text, tokens, Some(broken)),
+        }
+    }
+    (text, tokens, None)
+}
+
+/// Guards against lost or repeated tokens, also over a break with resumption, and
+/// against orders and states that the adapter reports wrongly.
+#[tokio::test]
+async fn engine_answers_are_complete() {
+    let b = bench(EngineSpec { slots: 1, ..EngineSpec::default() }).await;
+    let adapter = AdapterRef::new("demo", "3");
+    let (whole, stream) = (body("demo@3", false, 9), body("demo@3", true, 9));
+    let early = b.engine.start(&call(1, &whole)).await.map(|_| ());
+    assert!(matches!(early, Err(StartError::Refused { status: 404, .. })), "{early:?}");
+    assert_eq!(b.sample.record().executions, 0, "a refused request does not run");
+
+    b.engine.load(7, &adapter).await.unwrap();
+    let full = b.engine.load(7, &AdapterRef::new("more", "1")).await;
+    assert!(matches!(full, Err(OrderError::Refused { status: 400, .. })));
+    assert_eq!(b.engine.unload(6, &adapter).await, Err(OrderError::Fenced));
+    let state = b.engine.state().await.unwrap();
+    assert_eq!((state.loaded, state.fence, state.slots), (vec![adapter.clone()], 7, 1));
+
+    assert_eq!(read(&b.engine, &call(2, &whole)).await, (expected(&whole), 9, None));
+    assert_eq!(read(&b.engine, &call(3, &stream)).await, (expected(&stream), 9, None));
+    let reply = b.engine.start(&call(4, &stream)).await.unwrap();
+    let frames: Vec<_> = reply.frames.map(Result::unwrap).collect().await;
+    let usage = frames.last().unwrap().usage.unwrap();
+    assert_eq!((usage.prompt, usage.completion), (2, 9));
+    assert!(frames.iter().all(|f| f.model == "demo@3"));
+
+    b.sample.fault(&Fault { break_after: Some(4), break_count: Some(1), ..Fault::default() });
+    let mut resumed = call(5, &stream);
+    let (mut text, tokens, broken) = read(&b.engine, &resumed).await;
+    assert!(matches!(broken, Some(Broken::Closed(_))) && tokens <= 4, "{broken:?} {tokens}");
+    resumed.resume = Some(tokens);
+    let (rest, more, end) = read(&b.engine, &resumed).await;
+    text.push_str(&rest);
+    assert_eq!((text, tokens + more, end), (expected(&stream), 9, None));
+
+    b.sample.fault(&Fault { fail_loads: Some(1), ..Fault::default() });
+    b.engine.unload(8, &adapter).await.unwrap();
+    let failed = b.engine.load(8, &adapter).await;
+    assert!(matches!(failed, Err(OrderError::Refused { status: 500, .. })), "{failed:?}");
+}
+
+/// Guards against a caller that gets the answer to another attempt.
+#[tokio::test]
+async fn answers_of_other_attempts_are_dropped() {
+    let b = bench(EngineSpec::default()).await;
+    b.sample.fault(&Fault { foreign_ids: Some(2), ..Fault::default() });
+    let mut reply = b.engine.start(&call(1, &body("base", true, 5))).await.unwrap();
+    assert_eq!(reply.frames.next().await, None);
+    assert!(reply.dropped.count() >= 5);
+    let mut reply = b.engine.start(&call(2, &body("base", false, 5))).await.unwrap();
+    assert_eq!(reply.frames.next().await, Some(Err(Broken::Mismatch)));
+    assert_eq!(reply.dropped.count(), 1);
+}
+
+/// Guards against a stream, or a pooled connection, that stays silent for good and
+/// is waited for or used again, and against engines that go on for a caller who left.
+#[tokio::test]
+async fn silent_connections_and_cancellation() {
+    let b = bench(EngineSpec::default()).await;
+    let long = body("base", true, 100_000);
+    let mut reply = b.engine.start(&call(1, &long)).await.unwrap();
+    assert!(reply.frames.next().await.unwrap().is_ok());
+    b.sample.fault(&Fault { silence: Some(true), ..Fault::default() });
+    let mut last = None;
+    while let Some(item) = reply.frames.next().await {
+        last = Some(item);
+    }
+    assert_eq!(last, Some(Err(Broken::Silent)));
+
+    assert!(read(&b.engine, &call(2, &body("base", false, 2))).await.2.is_none());
+    b.sample.fault(&Fault { silence: Some(true), ..Fault::default() });
+    b.engine.probe().await.unwrap();
+    let mut unheard = call(3, &body("base", false, 2));
+    unheard.deadline = Instant::now() + Duration::from_millis(200);
+    let outcome = b.engine.start(&unheard).await.map(|_| ());
+    assert!(matches!(outcome, Err(StartError::Unknown(_))), "{outcome:?}");
+    assert!(read(&b.engine, &call(4, &body("base", false, 2))).await.2.is_none());
+
+    let mut reply = b.engine.start(&call(5, &long)).await.unwrap();
+    assert!(reply.frames.next().await.unwrap().is_ok());
+    assert!(b.engine.state().await.unwrap().running.contains(&AttemptId(5)));
+    let cancelled = b.sample.record().cancelled;
+    drop(reply);
+    eventually(|| b.sample.record().cancelled > cancelled).await;
+    let mut reply = b.engine.start(&call(6, &long)).await.unwrap();
+    b.engine.cancel(AttemptId(6)).await.unwrap();
+    while let Some(Ok(_)) = reply.frames.next().await {}
+    eventually(|| b.sample.record().cancelled > cancelled + 1).await;
+    assert!(!b.engine.state().await.unwrap().running.contains(&AttemptId(6)));
+}
+
+/// Ids of the attempts whose request reached a server, with how often.
+type Seen = Arc<Mutex<BTreeMap<String, u32>>>;
+
+fn note(seen: &Seen, received: &[u8]) {
+    let text = String::from_utf8_lossy(received).to_ascii_lowercase();
+    for part in text.split("x-request-id: ").skip(1) {
+        *seen.lock().unwrap().entry(part[..32].to_owned()).or_default() += 1;
+    }
+}
+
+/// Guards against "not run" for a request that may have been received, and against
+/// moving such a request to another connection: whatever the server does with its
+/// connections, it sees no attempt twice, and none that is reported as unsent.
+#[tokio::test]
+async fn unsent_means_that_nothing_was_written() {
+    let seen = Seen::default();
+    let listener = TcpListener::bind(any()).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let received = seen.clone();
+    tokio::spawn(async move {
+        let mut rng = StdRng::seed_from_u64(SEED);
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (answers, reads) = (rng.random_range(0..4), rng.random_range(0..3) > 0);
+            let pause = Duration::from_micros(rng.random_range(0..3000));
+            let seen = received.clone();
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                for _ in 0..answers {
+                    let n = stream.read(&mut buf).await.unwrap_or(0);
+                    note(&seen, &buf[..n]);
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+                    drop(stream.write_all(answer).await);
+                }
+                // Closes after the next request, or at a time that may hit one.
+                let n = match reads {
+                    true => stream.read(&mut buf).await,
+                    false => {
+                        tokio::time::sleep(pause).await;
+                        stream.try_read(&mut buf)
+                    }
+                };
+                note(&seen, &buf[..n.unwrap_or(0)]);
+            });
+        }
+    });
+    let engine = HttpEngine::new(http(), addr, EngineSettings::default());
+    let mut rng = StdRng::seed_from_u64(SEED + 1);
+    let (mut unsent, mut outcomes) = (Vec::new(), [0; 3]);
+    for n in 0..1000 {
+        let result = engine.start(&call(n, &body("base", false, 1))).await;
+        match result {
+            Ok(mut reply) => {
+                while reply.frames.next().await.is_some() {}
+                outcomes[0] += 1;
+            }
+            Err(StartError::Unsent(reason)) => {
+                unsent.push((AttemptId(n).to_string(), reason));
+                outcomes[1] += 1;
+            }
+            Err(StartError::Unknown(_)) => outcomes[2] += 1,
+            Err(refused) => panic!("{refused:?}"),
+        }
+        tokio::time::sleep(Duration::from_micros(rng.random_range(0..2000))).await;
+    }
+    let seen = seen.lock().unwrap();
+    let twice: Vec<_> = seen.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(twice.is_empty(), "seed {SEED:#x}: {twice:?}");
+    let wrong: Vec<_> = unsent.iter().filter(|(id, _)| seen.contains_key(id)).collect();
+    assert!(wrong.is_empty(), "seed {SEED:#x}: {wrong:?}");
+    assert!(outcomes[0] > 0 && outcomes[2] > 0, "answered, unsent, unknown: {outcomes:?}");
+}
+
+/// Guards against a refused connection that is reported as unknown, a crash that is
+/// reported as "not run", and a stale connection that makes a request run twice.
+#[tokio::test]
+async fn crashes_are_unknown_and_refused_connections_unsent() {
+    let b = bench(EngineSpec::default()).await;
+    let short = body("base", false, 2);
+    assert!(read(&b.engine, &call(1, &short)).await.2.is_none());
+    let before = b.engine.state().await.unwrap().incarnation;
+    b.engine.load(1, &AdapterRef::new("demo", "1")).await.unwrap_err();
+    b.engine.load(8, &AdapterRef::new("demo", "1")).await.unwrap();
+    let crash_marker = Some("POISON".to_owned());
+    b.sample.fault(&Fault { crash_marker, crash_ms: Some(300), ..Fault::default() });
+    let mut poison = body("base", false, 2);
+    poison["user"] = "POISON".into();
+    let mut poison = call(2, &poison);
+    poison.fence = 8;
+    let crashed = b.engine.start(&poison).await.map(|_| ());
+    assert!(matches!(crashed, Err(StartError::Unknown(_))), "{crashed:?}");
+    let down = b.engine.start(&call(3, &short)).await.map(|_| ());
+    assert!(matches!(down, Err(StartError::Unsent(_))), "{down:?}");
+    while b.engine.probe().await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let state = b.engine.state().await.unwrap();
+    assert!(state.incarnation != before && state.loaded.is_empty());
+    // The client notices a close only after the server made it.
+    b.sample.wire().cut_all();
+    eventually(|| b.sample.wire().open() == 0).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(read(&b.engine, &call(4, &short)).await.2.is_none());
+    let record = b.sample.record();
+    let counts = [1, 2, 3, 4].map(|n| record.count(&AttemptId(n).to_string()));
+    assert_eq!(counts, [1, 1, 0, 1]);
+}
+
+/// Guards against a caller's key or cookie that reaches an endpoint, and against a
+/// call that is run again, or called "not run", because its answer was lost.
+#[tokio::test]
+async fn service_calls_run_once_without_the_key() {
+    let sample = SampleService::new(ServiceSpec::default());
+    let running = sample.serve(any()).await.unwrap();
+    let service = HttpService::new(http(), running.addr, Duration::from_secs(5));
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("authorization", "Bearer sk-secret"),
+        ("cookie", "session=sk-secret"),
+        ("x-api-key", "sk-secret"),
+        ("proxy-authorization", "Basic sk-secret"),
+        ("idempotency-key", "caller-1"),
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("accept-language", "en;q=0.5, sk-secret"),
+        ("content-type", "application/json"),
+        ("traceparent", "00-1-2-00"),
+    ] {
+        headers.append(name, HeaderValue::from_static(value));
+    }
+    let call = |n| ServiceCall {
+        attempt: AttemptId(n),
+        fence: 1,
+        method: Method::POST,
+        path: "/book?day=1".to_owned(),
+        headers: forwarded(&headers, Some("sk-secret")),
+        body: Bytes::from(format!("{{\"booking\":\"b{n}\"}}")),
+        deadline: soon(),
+    };
+    let reply = service.call(&call(1)).await.unwrap();
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap();
+    assert_eq!((reply.status, &answer["path"]), (200, &json!("/book?day=1")));
+    let mut raw = call(2);
+    raw.headers = headers.clone();
+    raw.headers.remove("accept-language");
+    service.call(&raw).await.unwrap();
+
+    sample.fault(&Fault { lose_answers: Some(1), ..Fault::default() });
+    let lost = service.call(&call(3)).await;
+    assert!(matches!(lost, Err(StartError::Unknown(_))), "{lost:?}");
+    let stored = service.status("/attempts", AttemptId(3)).await.unwrap().unwrap();
+    let answer: Value = serde_json::from_slice(&stored.body).unwrap();
+    assert_eq!((stored.status, &answer["attempt"]), (200, &json!(AttemptId(3).to_string())));
+    assert_eq!(service.status("/attempts", AttemptId(4)).await.unwrap(), None);
+
+    let record = sample.record();
+    let names: Vec<&str> = record.headers.keys().map(String::as_str).collect();
+    let known = ["content-length", "content-type", "host", "traceparent", "x-fence"];
+    assert_eq!(names, [&known[..], &["x-request-id"]].concat());
+    assert!(!record.leaked("sk-secret"));
+    for n in 1..=3 {
+        assert_eq!(record.fields[&format!("booking=b{n}")], 1);
+    }
+}
+
+/// Guards against a load tool that miscounts, or accepts the answer to another request.
+#[tokio::test]
+async fn load_tool_checks_answers() {
+    let plan = |addr, mix| Plan {
+        targets: vec![addr],
+        rate: 200.0,
+        time: Duration::from_millis(500),
+        callers: vec![Caller { key: "k".to_owned(), models: vec!["base".to_owned()] }],
+        mix,
+        service: "/book".to_owned(),
+        repeat: 0,
+        tokens: 8,
+        deadline: Duration::from_secs(20),
+        seed: SEED,
+    };
+    let b = bench(EngineSpec::default()).await;
+    let report = run(plan(b.engine.addr(), [1, 1, 0])).await;
+    assert_eq!((report.total.sent, report.total.right), (100, 100), "{report:?}");
+    let sample = SampleService::new(ServiceSpec::default());
+    let running = sample.serve(any()).await.unwrap();
+    let report = run(plan(running.addr, [0, 0, 1])).await;
+    assert_eq!((report.total.right, sample.record().executions), (100, 100), "{report:?}");
+
+    let wrong = poem::endpoint::make(async |_| {
+        let mut other = body("base", false, 4);
+        other["messages"] = json!("another request");
+        let choice = json!({ "message": { "content": expected(&other) } });
+        let answer = json!({ "model": "base", "choices": [choice] });
+        Ok::<_, poem::Error>(answer.to_string())
+    });
+    let wire = sycamorefork::faulty::Wire::default();
+    let listener = sycamorefork::faulty::FaultyListener::bind(any(), wire).await.unwrap();
+    let running = sycamorefork::faulty::run(listener, wrong);
+    let report = run(plan(running.addr, [0, 1, 0])).await;
+    assert_eq!(report.total.wrong, 100, "{report:?}");
+}
