Stop sample requests whose caller goes away; test the batch

The server keeps half-closed connections, so a request that waited for a place in the batch ran although its caller had closed the connection: the new batch test hung with four requests listed as running instead of three. A trace showed that the server read the end of the stream and kept the handler. The listener now reports the end of a stream as an aborted connection. Silent streams also discard the pooled connections to their endpoint.

--- a/src/faulty.rs
+++ b/src/faulty.rs
@@ -211,13 +211,18 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         std::task::ready!(self.gate(cx))?;
-        let before = buf.filled().len();
+        let (before, room) = (buf.filled().len(), buf.remaining() > 0);
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
         // What arrives on a connection that went silent meanwhile is not seen.
         if read.is_ready() && self.silent.load(Ordering::Relaxed) {
             buf.set_filled(before);
             return Poll::Pending;
         }
+        // The server keeps half-closed connections, but an engine stops a request
+        // whose caller closes its connection.
+        if room && matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() == before {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         read
     }
 }
--- a/src/frames.rs
+++ b/src/frames.rs
@@ -252,6 +252,10 @@
                     if this.wait.as_mut().poll(cx).is_pending() {
                         return Poll::Pending;
                     }
+                    // Connections opened earlier may be silent as well.
+                    if let Some(answer) = this.answer.take() {
+                        answer.discard();
+                    }
                     let late = Instant::now() >= this.limits.deadline;
                     return this.fail(if late { Broken::Deadline } else { Broken::Silent });
                 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -221,6 +221,10 @@
         }
         let mut idle = self.0.idle.lock().unwrap();
         let list = idle.entry(addr).or_default();
+        // Connections stand in the order of their return, so the first are the oldest.
+        if let Some(oldest) = Instant::now().checked_sub(self.0.settings.idle) {
+            list.drain(..list.partition_point(|(_, since)| *since < oldest));
+        }
         if list.len() < self.0.settings.pool {
             list.push((conn, Instant::now()));
         }
@@ -320,6 +324,11 @@
         Ok(Whole { status, headers, body: body.freeze() })
     }
 
+    /// Closes this connection and the idle ones to the same address.
+    pub fn discard(self) {
+        self.client.purge(self.addr);
+    }
+
     /// Reads the rest in the background, so that the connection can be used again.
     pub fn drain(mut self) {
         tokio::spawn(timeout(DRAIN, async move { while let Some(Ok(_)) = self.chunk().await {} }));
--- a/src/service.rs
+++ b/src/service.rs
@@ -143,17 +143,19 @@
     }
 }
 
+/// Whether a path, header or body contains the caller's key.
+pub fn holds_key(bytes: &[u8], key: &str) -> bool {
+    !key.is_empty() && bytes.windows(key.len()).any(|w| w == key.as_bytes())
+}
+
 /// The headers that may be forwarded, without any whose value contains the key.
 ///
 /// `Authorization`, `Cookie` and the caller's `Idempotency-Key` are never among them.
 pub fn forwarded(headers: &HeaderMap, key: Option<&str>) -> HeaderMap {
-    let holds_key = |value: &[u8]| {
-        key.is_some_and(|k| !k.is_empty() && value.windows(k.len()).any(|w| w == k.as_bytes()))
-    };
     let mut out = HeaderMap::new();
     for name in FORWARDED {
         for value in headers.get_all(name) {
-            if !holds_key(value.as_bytes()) {
+            if !key.is_some_and(|key| holds_key(value.as_bytes(), key)) {
                 out.append(HeaderName::from_static(name), value.clone());
             }
         }
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -399,6 +399,31 @@
     assert!(!b.engine.state().await.unwrap().running.contains(&AttemptId(6)));
 }
 
+/// Guards against a sample engine that exceeds its batch, ignores priorities, or
+/// loses a place in the batch when a waiting caller goes away.
+#[tokio::test]
+async fn batch_is_bounded_and_ordered() {
+    let b = bench(EngineSpec { batch: 1, ..EngineSpec::default() }).await;
+    let mut first = b.engine.start(&call(1, &body("base", true, 100_000))).await.unwrap();
+    assert!(first.frames.next().await.unwrap().is_ok());
+    let mut waiting = Vec::new();
+    for (attempt, priority) in [(2, 9), (3, 0), (4, 5)] {
+        let mut body = body("base", false, 1);
+        body["priority"] = priority.into();
+        let (engine, call) = (b.engine.clone(), call(attempt, &body));
+        waiting.push(tokio::spawn(async move { read(&engine, &call).await }));
+        while b.engine.state().await.unwrap().queued < waiting.len() as u64 {}
+    }
+    waiting.remove(1).abort();
+    while b.engine.state().await.unwrap().running.len() > 3 {}
+    drop(first);
+    for task in waiting {
+        assert!(task.await.unwrap().2.is_none());
+    }
+    let order: Vec<String> = b.sample.record().executed.into_iter().map(|e| e.attempt).collect();
+    assert_eq!(order, [1, 4, 2].map(|n| AttemptId(n).to_string()));
+}
+
 /// Ids of the attempts whose request reached a server, with how often.
 type Seen = Arc<Mutex<BTreeMap<String, u32>>>;
 
