--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,7 +84,7 @@
 pub mod settings;
 mod shell;
 pub mod slots;
-mod sse;
+pub mod sse;
 pub mod takeover;
 pub mod time;
 pub mod vmlist;
