Drop the list of abandoned attempts; widen the fault runs

A void row is committed before another call of the key claims it, so an abandoned attempt can no longer be found in a running row. The fault runs now include late messages at 40 %, partial takeovers and uneven retry times.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -156,7 +156,6 @@
             stamp: 0,
             tried: false,
             conflicts: 0,
-            unsent: Vec::new(),
             waiters: Vec::new(),
             until: Ms(0),
             size: 0,
@@ -329,7 +328,6 @@
     fn give_up(&mut self, now: Ms, key: &str) {
         let Some(entry) = self.entries.get_mut(key) else { return };
         if let Some(waiter) = entry.call.take() {
-            entry.unsent.push(waiter.call.attempt);
             // A waiting call with the same key may run next, so this caller
             // cannot be told that its call did not run.
             let next = entry.live(now);
@@ -435,10 +433,7 @@
         entry.stamp += 1;
         match outcome {
             Outcome::Answer(answer) => self.set_answer(&key, answer),
-            Outcome::NotRun => {
-                entry.unsent.push(entry.row.attempt);
-                entry.row.state = ClaimState::Void;
-            }
+            Outcome::NotRun => entry.row.state = ClaimState::Void,
             Outcome::Unknown => entry.row.state = ClaimState::Unknown,
         }
         self.tickets.remove(&ticket);
--- a/src/claimentry.rs
+++ b/src/claimentry.rs
@@ -59,8 +59,6 @@
     /// Whether a claim left this node and may yet take effect.
     pub tried: bool,
     pub conflicts: u32,
-    /// Attempts of this node that were never sent, and never will be.
-    pub unsent: Vec<AttemptId>,
     pub waiters: Vec<Waiter>,
     pub until: Ms,
     /// Bytes of the answer that count towards the memory bound.
--- a/src/claimread.rs
+++ b/src/claimread.rs
@@ -59,7 +59,7 @@
             }
             return self.adopt(now, key, row.version, found);
         }
-        if same || entry.unsent.contains(&found.attempt) {
+        if same {
             entry.known = Known::At(row.version);
             self.enqueue(key);
         } else if entry.row.state == ClaimState::Void {
@@ -96,7 +96,7 @@
         let gone = self.gone.contains(&found.node) || found.node == self.node;
         let Some(entry) = self.entries.get_mut(key) else { return };
         let own = entry.call.as_ref().is_some_and(|w| w.call.attempt == found.attempt);
-        let free = found.state == ClaimState::Void || entry.unsent.contains(&found.attempt);
+        let free = found.state == ClaimState::Void;
         if entry.phase == Phase::Claiming && own && found.state == ClaimState::Running {
             entry.known = Known::At(version);
             return self.settled(now, key);
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -317,7 +317,8 @@
             ClaimOut::NotRun(ticket, _) => {
                 if let Some((key, attempt)) = self.tell(node, ticket) {
                     self.unrun.insert(attempt);
-                    self.retry(key, 100);
+                    let delay = self.rng.random_range(50..2000);
+                    self.retry(key, delay);
                 }
             }
             ClaimOut::Unknown { ticket, .. } => {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -29,6 +29,14 @@
     body: Body,
 }
 
+/// How much of its reservation a request uses.
+#[derive(Clone, Copy)]
+enum Usage {
+    Exact,
+    Below,
+    Overrun,
+}
+
 struct Sim {
     name: Node,
     quota: Quota,
@@ -54,8 +62,7 @@
     nodes: Vec<Sim>,
     holders: Vec<usize>,
     messages: BTreeMap<(u64, u64), Msg>,
-    /// Whether each reservation is used in full.
-    exact: bool,
+    usage: Usage,
     lost: u32,
     late: u32,
     granted: u64,
@@ -80,7 +87,7 @@
             nodes: Vec::new(),
             holders: holders.to_vec(),
             messages: BTreeMap::new(),
-            exact: false,
+            usage: Usage::Exact,
             lost: 0,
             late: 0,
             granted: 0,
@@ -205,10 +212,10 @@
                 }
                 let (_, _, reservation) = self.nodes[i].held.swap_remove(k);
                 let tokens = reservation.tokens();
-                // One in ten requests overruns its reservation by a tenth.
-                let used = match self.exact {
-                    true => tokens,
-                    false => self.rng.random_range(0..=tokens * 10 / 9),
+                let used = match self.usage {
+                    Usage::Exact => tokens,
+                    Usage::Below => self.rng.random_range(0..=tokens),
+                    Usage::Overrun => self.rng.random_range(0..=tokens * 10 / 9),
                 };
                 returned += tokens.saturating_sub(used);
                 self.nodes[i].quota.settle(now, reservation, used);
@@ -250,7 +257,8 @@
     /// Gives all seats of a node to others, as after the end of its lease.
     fn take_over(&mut self, node: usize) {
         for seat in 0..SEATS {
-            if self.holders[seat] == node {
+            // Some seats are not claimed before their holder is back.
+            if self.holders[seat] == node && self.rng.random_bool(0.7) {
                 let to =
                     (node + 1 + self.rng.random_range(0..self.nodes.len() - 1)) % self.nodes.len();
                 if self.nodes[to].paused.is_none() {
@@ -322,7 +330,9 @@
         };
         let mut world = World::new(seed, &holders, spec);
         world.lost = 100;
-        world.late = 100;
+        world.late = [50, 400][rng.random_range(0..2)];
+        world.usage = [Usage::Exact, Usage::Below, Usage::Overrun][rng.random_range(0..3)];
+        let changes = rng.random_bool(0.5);
         let pauses = rng.random_bool(0.5);
         let drift = rng.random_range(0..4) == 0;
         if drift {
@@ -403,7 +413,7 @@
                         takeovers.push((now + LEASE, node));
                     }
                 }
-                13..15 => {
+                13..15 if changes => {
                     let new = RateSpec {
                         rate: rng.random_range(100..20_000),
                         burst: rng.random_range(1000..40_000),
@@ -465,7 +475,6 @@
         };
         let holders: Vec<usize> = (0..SEATS).map(holder).collect();
         let mut world = World::new(SEED, &holders, RateSpec { rate, burst, concurrent });
-        world.exact = true;
         let mut due = 0;
         let mut warm = (0, 0);
         while world.now < 60_000 {
