--- a/tests/sched.rs
+++ b/tests/sched.rs
@@ -249,6 +249,13 @@
             }
             (13, Some(attempt)) => self.arrive(attempt),
             (14, _) if a.is_multiple_of(3) => self.restart(),
+            (14, _) => {
+                // The link to the endpoint was lost and its state is read again.
+                while !self.orders.is_empty() {
+                    self.perform(0, !a.is_multiple_of(4));
+                }
+                self.restate();
+            }
             (15, _) if a.is_multiple_of(3) => self.take_over(),
             _ => {}
         }
