--- a/src/engine.rs
+++ b/src/engine.rs
@@ -9,6 +9,7 @@
 //! `POST /v1/cancel` with `{"request_id"}`. A refusal that states
 //! `error.ran = "no"` counts as "not run" with any status.
 
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -77,6 +78,16 @@
     Unknown(String),
 }
 
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unsent(reason) => write!(f, "not sent: {reason}"),
+            Self::Refused { status, .. } => write!(f, "refused with status {status}"),
+            Self::Unknown(reason) => write!(f, "outcome unknown: {reason}"),
+        }
+    }
+}
+
 impl From<SendError> for StartError {
     fn from(error: SendError) -> Self {
         match error {
@@ -104,6 +115,17 @@
     Unknown(String),
 }
 
+impl fmt::Display for OrderError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unsent(reason) => write!(f, "not sent: {reason}"),
+            Self::Fenced => f.write_str("the endpoint knows a higher fence"),
+            Self::Refused { status, reason } => write!(f, "refused with status {status}: {reason}"),
+            Self::Unknown(reason) => write!(f, "outcome unknown: {reason}"),
+        }
+    }
+}
+
 impl From<SendError> for OrderError {
     fn from(error: SendError) -> Self {
         match error {
@@ -463,6 +485,16 @@
 ///
 /// A lower `priority` runs earlier. A streaming body asks for token counts.
 ///
+/// ```
+/// use sycamorefork::engine::engine_body;
+///
+/// let body = engine_body(br#"{"model":"a","prompt":"p","stream":true}"#, "a@2", 1)?;
+/// let json: serde_json::Value = serde_json::from_slice(&body).unwrap();
+/// assert_eq!(json["model"], "a@2");
+/// assert_eq!(json["stream_options"]["include_usage"], true);
+/// # Ok::<_, sycamorefork::Error>(())
+/// ```
+///
 /// # Errors
 /// Fails with an input error when `body` is not a JSON object.
 pub fn engine_body(body: &[u8], model: &str, priority: i64) -> Result<Bytes> {
--- a/src/faulty.rs
+++ b/src/faulty.rs
@@ -186,15 +186,12 @@
 }
 
 impl FaultyStream {
-    /// Whether the next operation may proceed; pending forever when silent.
-    fn gate(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    /// Fails when the connection was cut; otherwise tells whether it is silent.
+    fn gate(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
         if self.cut.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-        }
-        match self.silent.load(Ordering::Relaxed) {
-            true => Poll::Pending,
-            false => Poll::Ready(Ok(())),
+            return Err(io::ErrorKind::ConnectionReset.into());
         }
+        Ok(self.silent.load(Ordering::Relaxed))
     }
 }
 
@@ -210,7 +207,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        std::task::ready!(self.gate(cx))?;
+        if self.gate(cx)? {
+            return Poll::Pending;
+        }
         let (before, room) = (buf.filled().len(), buf.remaining() > 0);
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
         // What arrives on a connection that went silent meanwhile is not seen.
@@ -233,17 +232,24 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        std::task::ready!(self.gate(cx))?;
+        // A process does not notice that its peer no longer hears it.
+        if self.gate(cx)? {
+            return Poll::Ready(Ok(buf.len()));
+        }
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        std::task::ready!(self.gate(cx))?;
+        if self.gate(cx)? {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.inner).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        std::task::ready!(self.gate(cx))?;
+        if self.gate(cx)? {
+            return Poll::Pending;
+        }
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
--- a/src/frames.rs
+++ b/src/frames.rs
@@ -1,5 +1,6 @@
 //! Frames of an engine's answer, checked to belong to their attempt.
 
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -59,6 +60,19 @@
     Mismatch,
 }
 
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Silent => f.write_str("no progress in time"),
+            Self::Deadline => f.write_str("deadline passed"),
+            Self::Closed(reason) => write!(f, "ended early: {reason}"),
+            Self::Failed(_) => f.write_str("engine reported an error"),
+            Self::Oversized => f.write_str("frame too large"),
+            Self::Mismatch => f.write_str("answer belongs to another attempt"),
+        }
+    }
+}
+
 /// Counter of frames that were dropped; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct Dropped(Arc<AtomicU64>);
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -88,6 +88,18 @@
 }
 
 /// Transactional table in memory.
+///
+/// ```
+/// use sycamorefork::memory::MemoryTable;
+/// use sycamorefork::platform::{Commit, Cond, Txn, Write};
+///
+/// let table = MemoryTable::new();
+/// let create = Write::put("node/a", Cond::Absent, "value");
+/// let txn = Txn { id: "t1".into(), writes: vec![create] };
+/// assert!(matches!(table.apply(&txn)?, Commit::Done(_)));
+/// assert_eq!(table.apply(&txn)?, Commit::Conflict("node/a".into()));
+/// # Ok::<_, sycamorefork::Error>(())
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct MemoryTable {
     state: Arc<Mutex<Rows>>,
--- a/src/service.rs
+++ b/src/service.rs
@@ -151,6 +151,17 @@
 /// The headers that may be forwarded, without any whose value contains the key.
 ///
 /// `Authorization`, `Cookie` and the caller's `Idempotency-Key` are never among them.
+///
+/// ```
+/// use http::{HeaderMap, HeaderValue};
+/// use sycamorefork::service::forwarded;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("authorization", HeaderValue::from_static("Bearer sk-1"));
+/// headers.insert("accept", HeaderValue::from_static("text/html"));
+/// let sent = forwarded(&headers, Some("sk-1"));
+/// assert_eq!(sent.keys().collect::<Vec<_>>(), ["accept"]);
+/// ```
 pub fn forwarded(headers: &HeaderMap, key: Option<&str>) -> HeaderMap {
     let mut out = HeaderMap::new();
     for name in FORWARDED {
@@ -189,6 +200,10 @@
 
 impl Service for HttpService {
     async fn call(&self, call: &ServiceCall) -> std::result::Result<ServiceReply, StartError> {
+        let limit = self.http.settings().limit;
+        if call.body.len() > limit {
+            return Err(StartError::Unsent(format!("body over {limit} bytes")));
+        }
         let mut req = request(call.method.clone(), &call.path, call.body.clone())
             .map_err(StartError::Unsent)?;
         *req.headers_mut() = forwarded(&call.headers, None);
