Keep sample times exact

A sleep of zero takes a millisecond in tokio, which every request to the platform stand-in and to the sample endpoints paid, and token pauses added up their rounding. Zero waits are now skipped and token times count from the planned time of the previous token.

--- a/src/sample.rs
+++ b/src/sample.rs
@@ -18,7 +18,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::engine::{X_FENCE, X_INCARNATION, X_REQUEST_ID, X_RESUMABLE, X_RESUME_OFFSET};
@@ -117,13 +117,19 @@
         self.state.lock().unwrap()
     }
 
-    /// Waits `time` times the slow factor, and as long as the engine is frozen.
-    pub async fn pause(&self, time: Duration) {
-        let slow = self.state().faults.slow;
-        sleep(time.mul_f64(slow.max(0.0))).await;
+    /// Waits until `time` times the slow factor after `from`, and as long as the
+    /// engine is frozen. Gives the end of the wait.
+    pub async fn pause(&self, from: Instant, time: Duration) -> Instant {
+        let mut end = from + time.mul_f64(self.state().faults.slow.max(0.0));
+        // A sleep takes at least a millisecond, even if its end has passed.
+        if end > Instant::now() {
+            sleep_until(end).await;
+        }
         while self.state().faults.freeze {
             sleep(FROZEN).await;
+            end = Instant::now();
         }
+        end
     }
 
     /// Loses all state and connections; starts again with a new incarnation.
@@ -288,14 +294,14 @@
     /// Waits until the weights of an adapter are there.
     async fn fetch(&self, name: &str) -> bool {
         let Some(addr) = self.0.spec.weights else {
-            self.0.pause(self.0.spec.load.std()).await;
+            self.0.pause(Instant::now(), self.0.spec.load.std()).await;
             return true;
         };
         let body = Bytes::from(json!({ "adapter": name }).to_string());
         let Ok(req) = request(Method::POST, "/weights/load", body) else { return false };
         let deadline = Instant::now() + Duration::from_secs(60);
         let whole = self.0.http.fetch(addr, req, deadline).await;
-        self.0.pause(Duration::ZERO).await;
+        self.0.pause(Instant::now(), Duration::ZERO).await;
         whole.is_ok_and(|w| w.status.is_success())
     }
 
@@ -379,6 +385,7 @@
             prompt: prompt_tokens(&json),
             total: max_tokens(&json),
             next: offset,
+            due: Instant::now(),
             usage: json["stream_options"]["include_usage"].as_bool() == Some(true),
         };
         if json["stream"].as_bool() == Some(true) {
@@ -513,7 +520,7 @@
             });
         }
         self.0.state().record.see(&headers);
-        self.0.pause(Duration::ZERO).await;
+        self.0.pause(Instant::now(), Duration::ZERO).await;
         let order = || serde_json::from_slice::<Value>(&body).unwrap_or_default();
         let fence = number(&headers, X_FENCE);
         Ok(match (method, path.as_str()) {
--- a/src/sample_run.rs
+++ b/src/sample_run.rs
@@ -10,6 +10,7 @@
 use poem::{Body, Response};
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::sample::{Inner, token};
@@ -68,6 +69,7 @@
     pub prompt: u64,
     pub total: u64,
     pub next: u64,
+    pub due: Instant,
     pub usage: bool,
 }
 
@@ -80,12 +82,17 @@
 
 impl Answering {
     /// Waits for the next token, whose time includes the prompt for the first one.
-    async fn step(&self, first: bool) -> io::Result<()> {
+    ///
+    /// Counting from the planned time of the last token keeps the rate exact.
+    async fn step(&mut self, first: bool) -> io::Result<()> {
         let spec = &self.run.inner.spec;
         let token = Duration::from_secs_f64(1.0 / spec.rate.max(0.001));
         let time = if first { spec.first.std() } else { token };
         tokio::select! {
-            () = self.run.inner.pause(time) => Ok(()),
+            due = self.run.inner.pause(self.due, time) => {
+                self.due = due;
+                Ok(())
+            }
             () = self.cancel.cancelled() => Err(io::Error::other("cancelled")),
         }
     }
--- a/src/sample_service.rs
+++ b/src/sample_service.rs
@@ -130,8 +130,11 @@
     }
 
     async fn pause(&self, time: Duration) {
-        let slow = self.state().faults.slow;
-        sleep(time.mul_f64(slow.max(0.0))).await;
+        let time = time.mul_f64(self.state().faults.slow.max(0.0));
+        // A sleep takes at least a millisecond.
+        if !time.is_zero() {
+            sleep(time).await;
+        }
         while self.state().faults.freeze {
             sleep(FROZEN).await;
         }
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -320,7 +320,10 @@
             _ => 1,
         };
         let faults = self.state().faults[at].clone();
-        sleep(faults.slow).await;
+        // A sleep takes at least a millisecond.
+        if !faults.slow.is_zero() {
+            sleep(faults.slow).await;
+        }
         let cut = |peer: Option<SocketAddr>| {
             if let Some(peer) = peer {
                 self.0.wire.cut(peer);
