--- a/src/sample.rs
+++ b/src/sample.rs
@@ -354,6 +354,11 @@
             granted = run.start() => if !granted { return lost() },
             () = cancel.cancelled() => return cancelled(),
         }
+        // The adapter can have been unloaded while the request waited.
+        if model != self.0.spec.base && !self.0.state().loaded.contains_key(&model) {
+            let text = format!("model {model:?} is no longer loaded");
+            return self.refuse(StatusCode::NOT_FOUND, "model_not_found", &text);
+        }
         let offset = number(headers, X_RESUME_OFFSET);
         let digest = content_digest(&json);
         let foreign = {
