--- /dev/null
+++ b/tests/deployment/mod.rs
@@ -0,0 +1,394 @@
+//! A deployment of separate processes on loopback: platform, endpoints and nodes.
+
+#![allow(dead_code)]
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, header};
+use serde_json::{Value, json};
+use sycamorefork::http::{Http, HttpSettings, Whole, request};
+use sycamorefork::keys;
+use tokio::time::{Instant, sleep};
+
+/// Credential of the operators.
+pub const CREDENTIAL: &str = "operator-credential";
+/// Keys of the two teams.
+pub const KEYS: [&str; 2] = ["sf_first-team-key", "sf_second-team-key"];
+/// Adapters of each team.
+pub const ADAPTERS: usize = 40;
+/// Time within which a condition must come true before a test fails.
+///
+/// Only a safeguard against hanging; no test asserts on wall time.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A child process, killed when it is dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
+        assert!(status.success(), "kill -{name} {pid}");
+    }
+
+    pub async fn exit(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "process did not end");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts a stand-in and returns the address that it prints.
+fn standin(args: &[&str]) -> (Process, SocketAddr) {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_sycamorefork")).with_file_name("standin");
+    let mut child = Command::new(&program)
+        .args(args)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap_or_else(|e| panic!("{}: {e}; build the whole workspace", program.display()));
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let addr = line.trim().strip_prefix("listening on ").expect("address line").parse().unwrap();
+    (Process { child }, addr)
+}
+
+/// A port that was free a moment ago.
+fn free_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// An endpoint stand-in.
+pub struct EndpointProcess {
+    pub name: String,
+    pub role: &'static str,
+    pub addr: SocketAddr,
+    pub process: Process,
+}
+
+/// A node process.
+pub struct NodeProcess {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub admin: SocketAddr,
+    pub process: Option<Process>,
+    settings: PathBuf,
+}
+
+/// A whole deployment.
+pub struct Deployment {
+    pub http: Http,
+    pub platform: SocketAddr,
+    pub endpoints: Vec<EndpointProcess>,
+    pub nodes: Vec<NodeProcess>,
+    pub directory: PathBuf,
+    _platform: Process,
+}
+
+impl Deployment {
+    /// Starts everything and waits until each node routes to each endpoint.
+    pub async fn start(nodes: usize, engines: usize) -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("deployment-{}-{number}", std::process::id()));
+        fs::create_dir_all(&directory).unwrap();
+        let (process, platform) = standin(&["platform", "--listen", "127.0.0.1:0", "--lag", "100"]);
+        let mut deployment = Self {
+            http: Http::new(HttpSettings::default()),
+            platform,
+            endpoints: Vec::new(),
+            nodes: Vec::new(),
+            directory,
+            _platform: process,
+        };
+        for n in 0..engines {
+            deployment.add_endpoint(&format!("engine-{n}"), "engine", n % 2 == 0);
+        }
+        for n in 0..2 {
+            deployment.add_endpoint(&format!("bookings-{n}"), "service", false);
+        }
+        for n in 0..nodes {
+            deployment.add_node(&format!("node-{n}"));
+        }
+        deployment.list(&[]).await;
+        deployment.apply(&document(&[]));
+        for n in 0..nodes {
+            deployment.spawn_node(n);
+        }
+        deployment.ready().await;
+        deployment
+    }
+
+    fn add_endpoint(&mut self, name: &str, role: &'static str, fenced: bool) {
+        let mut args = vec!["endpoint", "--listen", "127.0.0.1:0", "--name", name, "--role", role];
+        if fenced {
+            args.push("--checks-fence");
+        }
+        if role == "engine" {
+            args.extend(["--base", "base", "--slots", "8", "--batch", "16", "--load-ms", "40"]);
+        }
+        let (process, addr) = standin(&args);
+        self.endpoints.push(EndpointProcess { name: name.to_owned(), role, addr, process });
+    }
+
+    fn add_node(&mut self, name: &str) {
+        let (callers, peers, admin) = (free_addr(), free_addr(), free_addr());
+        let settings = self.directory.join(format!("{name}.toml"));
+        fs::write(&settings, self.settings(name, callers, peers, admin)).unwrap();
+        let name = name.to_owned();
+        self.nodes.push(NodeProcess { name, callers, peers, admin, process: None, settings });
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        callers: SocketAddr,
+        peers: SocketAddr,
+        admin: SocketAddr,
+    ) -> String {
+        let platform = self.platform;
+        let digest = hex::encode(keys::digest(CREDENTIAL));
+        let mut text = format!(
+            "node = \"{name}\"\ndomain = \"one\"\n\
+             [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nadmin = \"{admin}\"\n\
+             [peers]\nsecret = \"a-secret-of-sufficient-length\"\n\
+             [admin]\ndigest = \"{digest}\"\n\
+             [platform]\ntable = \"{platform}\"\nobjects = \"{platform}\"\nvms = \"{platform}\"\n\
+             [limits]\nbody = 65_536\nslow = \"1s\"\nrequest = \"20s\"\nprogress = \"2s\"\n"
+        );
+        for (i, e) in self.endpoints.iter().enumerate() {
+            let (role, pool, fenced) = match e.role {
+                "engine" => ("engine", "engines", i % 2 == 0),
+                _ => ("service", "bookings", false),
+            };
+            text.push_str(&format!(
+                "[[endpoint]]\nname = \"{}\"\nrole = \"{role}\"\npool = \"{pool}\"\n\
+                 slots = 8\nbatch = 16\nchecks_fence = {fenced}\n",
+                e.name
+            ));
+        }
+        text
+    }
+
+    /// Starts or restarts a node process.
+    pub fn spawn_node(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.directory.join(format!("{}.log", node.name)))
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_sycamorefork"))
+            .args(["serve", "--settings"])
+            .arg(&node.settings)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        node.process = Some(Process { child });
+    }
+
+    /// Applies a document with the operators' client.
+    pub fn apply(&self, document: &str) {
+        let file = self.directory.join("document.toml");
+        fs::write(&file, document).unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_sycamorefork"))
+            .arg("apply")
+            .arg(&file)
+            .arg("--settings")
+            .arg(&self.nodes[0].settings)
+            .output()
+            .unwrap();
+        let text = String::from_utf8_lossy(&output.stdout);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "apply: {text}{errors}");
+    }
+
+    /// Runs the operators' client and returns its JSON output.
+    pub fn client(&self, args: &[&str]) -> Value {
+        let output = Command::new(env!("CARGO_BIN_EXE_sycamorefork"))
+            .args(args)
+            .arg("--json")
+            .env("SYCAMOREFORK_CREDENTIAL", CREDENTIAL)
+            .output()
+            .unwrap();
+        serde_json::from_slice(&output.stdout).unwrap_or_else(|e| {
+            panic!("{args:?}: {e}: {}", String::from_utf8_lossy(&output.stderr))
+        })
+    }
+
+    /// The settings file of a node, for the operators' client.
+    pub fn settings_file(&self, n: usize) -> &str {
+        self.nodes[n].settings.to_str().unwrap()
+    }
+
+    /// Tells the platform which VMs exist and which are leaving.
+    pub async fn list(&self, leaving: &[&str]) {
+        let vm = |name: &str, addr: SocketAddr, role: &str| json!({"name": name, "addr": addr, "role": role, "leaving": leaving.contains(&name)});
+        let mut vms: Vec<Value> =
+            self.endpoints.iter().map(|e| vm(&e.name, e.addr, e.role)).collect();
+        vms.extend(self.nodes.iter().map(|n| vm(&n.name, n.peers, "node")));
+        self.put(self.platform, Method::PUT, "/debug/vms", &json!(vms)).await;
+    }
+
+    /// Puts a fault in force on the platform or an endpoint.
+    pub async fn fault(&self, at: SocketAddr, fault: Value) {
+        self.put(at, Method::POST, "/debug/fault", &fault).await;
+    }
+
+    async fn put(&self, at: SocketAddr, method: Method, path: &str, body: &Value) {
+        let req = request(method, path, Bytes::from(body.to_string())).unwrap();
+        let whole = self.http.fetch(at, req, Instant::now() + PATIENCE).await.unwrap();
+        assert!(whole.status.is_success(), "{path}: {}", whole.status);
+    }
+
+    /// What a stand-in has recorded.
+    pub async fn record(&self, at: SocketAddr) -> Value {
+        let req = request(Method::GET, "/debug/record", Bytes::new()).unwrap();
+        let whole = self.http.fetch(at, req, Instant::now() + PATIENCE).await.unwrap();
+        serde_json::from_slice(&whole.body).unwrap()
+    }
+
+    /// Sends one request to a node's callers' listener.
+    pub async fn send(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Whole {
+        let mut req = request(method, path, Bytes::from(body.to_owned())).unwrap();
+        for (name, value) in headers {
+            let name = header::HeaderName::from_bytes(name.as_bytes()).unwrap();
+            req.headers_mut().insert(name, value.parse().unwrap());
+        }
+        let at = self.nodes[node].callers;
+        self.http.fetch(at, req, Instant::now() + PATIENCE).await.unwrap()
+    }
+
+    /// A node's status, if it answers.
+    pub async fn status(&self, node: usize) -> Option<Value> {
+        let mut req = request(Method::GET, "/status", Bytes::new()).unwrap();
+        let value = format!("Bearer {CREDENTIAL}").parse().unwrap();
+        req.headers_mut().insert(header::AUTHORIZATION, value);
+        let at = self.nodes[node].admin;
+        let whole = self.http.fetch(at, req, Instant::now() + Duration::from_secs(2)).await.ok()?;
+        serde_json::from_slice(&whole.body).ok()
+    }
+
+    /// Waits until each running node routes to each endpoint.
+    pub async fn ready(&self) {
+        let routed = |s: &Value| {
+            let endpoints = s["endpoints"].as_array().unwrap();
+            s["serial"].as_u64() > Some(0)
+                && s["authority"] == "Full"
+                && endpoints.len() == self.endpoints.len()
+                && endpoints.iter().all(|e| !e["owner"].is_null() && e["healthy"] == true)
+        };
+        let end = Instant::now() + PATIENCE;
+        for n in 0..self.nodes.len() {
+            if self.nodes[n].process.is_none() {
+                continue;
+            }
+            while !self.status(n).await.is_some_and(|s| routed(&s)) {
+                assert!(Instant::now() < end, "node {n} not ready: {:?}", self.status(n).await);
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Waits until a condition on a node's status holds.
+    pub async fn until(&self, node: usize, what: &str, holds: impl Fn(&Value) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !self.status(node).await.is_some_and(|s| holds(&s)) {
+            assert!(Instant::now() < end, "{what}: {:?}", self.status(node).await);
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Callers of both teams with their adapters, for the load tool.
+    pub fn callers(&self) -> Vec<standin::load::Caller> {
+        let caller = |team: usize| standin::load::Caller {
+            key: KEYS[team].to_owned(),
+            models: (0..ADAPTERS).map(|n| adapter(team, n)).collect(),
+        };
+        vec![caller(0), caller(1)]
+    }
+
+    /// A load run of `count` requests over all nodes.
+    pub fn plan(&self, count: u64, rate: f64, seed: u64) -> standin::load::Plan {
+        standin::load::Plan {
+            targets: self.nodes.iter().map(|n| n.callers).collect(),
+            rate,
+            time: Duration::from_secs_f64(count as f64 / rate),
+            callers: self.callers(),
+            mix: [2, 1, 1],
+            service: "/services/bookings/book".to_owned(),
+            repeat: 20,
+            tokens: 8,
+            deadline: PATIENCE,
+            seed,
+        }
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+/// Name of a team's adapter.
+pub fn adapter(team: usize, n: usize) -> String {
+    format!("team{team}-{n:03}")
+}
+
+/// The document; `withdrawn` lists keys that no longer work.
+pub fn document(withdrawn: &[usize]) -> String {
+    let mut text = String::from(
+        "[[model]]\nname = \"base\"\ncontext = 8_192\n\
+         [[pool]]\nname = \"engines\"\nmodel = \"base\"\n\
+         [[pool]]\nname = \"bookings\"\nservice = \"bookings\"\n\
+         [[route]]\nname = \"bookings\"\nkind = \"service\"\npool = \"bookings\"\n\
+         idempotent = false\nstatus = \"/attempts\"\n\
+         [store]\nloads = 100.0\nconcurrent = 8\n",
+    );
+    for (n, key) in KEYS.iter().enumerate() {
+        let digest = hex::encode(keys::digest(key));
+        text.push_str(&format!(
+            "[[team]]\nname = \"team{n}\"\nrate = 500_000\nburst = 1_000_000\n\
+             [[key]]\nid = \"key{n}\"\nteam = \"team{n}\"\ndigest = \"{digest}\"\n\
+             withdrawn = {}\n\
+             [[family]]\nprefix = \"team{n}-\"\nfirst = 0\ncount = {ADAPTERS}\ndigits = 3\n\
+             model = \"base\"\nteam = \"team{n}\"\nversions = [\"1\", \"2\"]\ndefault = \"2\"\n",
+            withdrawn.contains(&n)
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,126 @@
+//! The whole path over separate processes.
+
+mod deployment;
+
+use deployment::{Deployment, KEYS, adapter};
+use http::Method;
+use serde_json::{Value, json};
+
+fn bearer(key: &str) -> String {
+    format!("Bearer {key}")
+}
+
+// Guards against answers of the wrong adapter, version, team or request, against
+// calls that run twice, and against keys that reach an endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn thousand_mixed_requests_over_two_nodes() {
+    let d = Deployment::start(2, 3).await;
+    let report = standin::load::run(d.plan(1000, 200.0, 7)).await;
+    let total = &report.total;
+    assert_eq!((total.wrong, total.broken), (0, 0), "{report:#?}");
+    assert_eq!(total.right, total.sent, "{report:#?}");
+    assert!(report.kinds["stream"].sent > 300 && report.kinds["repeat"].sent > 20, "{report:#?}");
+    for endpoint in &d.endpoints {
+        let record = d.record(endpoint.addr).await;
+        let text = record.to_string();
+        for key in KEYS {
+            assert!(!text.contains(key), "{} saw a caller's key", endpoint.name);
+        }
+        let attempts = record["executed"].as_array().expect("executions");
+        let mut ids: Vec<&str> = attempts.iter().filter_map(|a| a["attempt"].as_str()).collect();
+        let executed = ids.len();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), executed, "{} executed an attempt twice", endpoint.name);
+    }
+}
+
+struct Case {
+    name: &'static str,
+    path: &'static str,
+    key: Option<&'static str>,
+    headers: &'static [(&'static str, &'static str)],
+    body: String,
+    status: u16,
+    code: &'static str,
+}
+
+fn cases() -> Vec<Case> {
+    let chat = "/v1/chat/completions";
+    let case = |name, path, key, body: Value, status, code| Case {
+        name,
+        path,
+        key,
+        headers: &[],
+        body: body.to_string(),
+        status,
+        code,
+    };
+    let ask = |model: &str| json!({"model": model, "messages": [{"role": "user", "content": "x"}]});
+    let key = Some(KEYS[0]);
+    let own = adapter(0, 1);
+    vec![
+        Case { body: "{".into(), ..case("broken JSON", chat, key, json!({}), 400, "bad_body") },
+        case("no model", chat, key, json!({"messages": []}), 400, "bad_body"),
+        case("missing key", chat, None, ask(&own), 401, "missing_key"),
+        case("unknown key", chat, Some("sf_nobody"), ask(&own), 401, "unknown_key"),
+        case("unknown adapter", chat, key, ask("nothing"), 404, "unknown_model"),
+        case("unknown version", chat, key, ask(&format!("{own}@9")), 404, "unknown_version"),
+        case("other team", chat, key, ask(&adapter(1, 1)), 403, "other_team"),
+        case("unknown route", "/services/nowhere/x", key, json!({}), 404, "unknown_route"),
+        case("unknown path", "/v2/nothing", key, json!({}), 404, "not_found"),
+        case(
+            "too many tokens",
+            chat,
+            key,
+            json!({"model": own, "max_tokens": 2_000_000,
+            "messages": [{"role": "user", "content": "x"}]}),
+            400,
+            "over_burst",
+        ),
+        Case {
+            body: "x".repeat(70_000),
+            ..case("oversized body", chat, key, json!({}), 413, "body_too_large")
+        },
+        Case {
+            headers: &[("authorization", "Basic abc")],
+            ..case("bad header", chat, None, ask(&own), 400, "bad_header")
+        },
+        Case {
+            headers: &[("idempotency-key", "")],
+            ..case(
+                "empty idempotency key",
+                "/services/bookings/book",
+                key,
+                json!({}),
+                400,
+                "bad_header",
+            )
+        },
+    ]
+}
+
+// Guards against bad input that is answered without its own status, code, refusal
+// identifier and a true statement on whether it ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_bad_input_has_its_own_error() {
+    let d = Deployment::start(1, 1).await;
+    for case in cases() {
+        let auth = case.key.map(bearer);
+        let mut headers: Vec<(&str, &str)> = case.headers.to_vec();
+        headers.extend(auth.as_deref().map(|a| ("authorization", a)));
+        let whole = d.send(0, Method::POST, case.path, &headers, &case.body).await;
+        let body: Value = serde_json::from_slice(&whole.body).expect(case.name);
+        let error = &body["error"];
+        assert_eq!(whole.status.as_u16(), case.status, "{}: {body}", case.name);
+        assert_eq!(error["code"], case.code, "{}: {body}", case.name);
+        assert_eq!(error["ran"], "no", "{}: {body}", case.name);
+        assert!(error["refusal_id"].as_str().is_some_and(|id| !id.is_empty()), "{body}");
+    }
+    let key = bearer(KEYS[0]);
+    let whole = d.send(0, Method::GET, "/v1/models", &[("authorization", &key)], "").await;
+    let models: Value = serde_json::from_slice(&whole.body).unwrap();
+    let names: Vec<&str> =
+        models["data"].as_array().unwrap().iter().filter_map(|m| m["id"].as_str()).collect();
+    assert!(names.contains(&adapter(0, 0).as_str()) && !names.contains(&adapter(1, 0).as_str()));
+}
