Count only granted jobs as use and spill only to an endpoint with room

Cause: with one team at five times its rate the whole cell is overloaded, so each spill moved the overload and added a load; refused jobs of that team also won slots.

--- a/src/place.rs
+++ b/src/place.rs
@@ -145,7 +145,10 @@
     match (best, spill) {
         (Some((home, _)), _) if calm => Some(home),
         (Some((home, cost)), Some((other, _))) => {
-            Some(if estimate(request, &candidates[other]) < cost { other } else { home })
+            // Where the whole cell is overloaded, a spill would only add loads.
+            let room = wait(request, candidates[other].load) < request.costs.overload.0 * 1_000;
+            let better = room && estimate(request, &candidates[other]) < cost;
+            Some(if better { other } else { home })
         }
         (Some((i, _)), None) => Some(i),
         (None, spill) => spill.map(|(i, _)| i),
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -184,9 +184,6 @@
             out.push(SchedOut::Refuse { attempt: job.attempt, reason, retry_after });
             return;
         }
-        if let Some(adapter) = &job.adapter {
-            self.slots.request(now, adapter);
-        }
         self.queue.push(now, job);
         self.grant(now, out);
         if self.queue.len() > self.spec.queue
@@ -532,6 +529,10 @@
                 refuse(&job, RefuseReason::Unhealthy, RETRY, out);
                 continue;
             }
+            // Only granted jobs count: a flood of refused ones must not win slots.
+            if let Some(adapter) = &job.adapter {
+                self.slots.request(now, adapter);
+            }
             out.push(SchedOut::Grant { attempt: job.attempt });
             let (tokens, plain) = (job.tokens, job.adapter.is_none());
             let run = Run { team: Some(job.team), tokens, since: now, suspect, plain };
