Estimate the wait by the team's own waiting jobs

Cause: under a flood every queue looks equally long, so a team within its rate stayed on the few homes of its popular adapters, where its local demand exceeds its local share. Queues are fair by team, so the wait depends on the team's own jobs there, which the entry node knows.

--- a/benches/model/mod.rs
+++ b/benches/model/mod.rs
@@ -286,6 +286,7 @@
                     arrived: now,
                 };
                 let mut out = Vec::new();
+                self.router.waits(id, engine, request.team, true);
                 sched.submit(now, job, &mut out);
                 self.apply(engine, out);
                 self.poll(engine);
@@ -326,9 +327,14 @@
         let now = self.ms();
         for output in out {
             match output {
-                SchedOut::Grant { attempt } => self.start(engine, attempt.0 as usize),
+                SchedOut::Grant { attempt } => {
+                    let id = attempt.0 as usize;
+                    self.router.waits(id, engine, self.traffic.requests[id].team, false);
+                    self.start(engine, id);
+                }
                 SchedOut::Refuse { attempt, reason, .. } => {
                     let id = attempt.0 as usize;
+                    self.router.waits(id, engine, self.traffic.requests[id].team, false);
                     let again = matches!(reason, RefuseReason::Deadline | RefuseReason::Full);
                     if again && !std::mem::replace(&mut self.retried[id], true) {
                         let other = self.router.elsewhere(engine);
--- a/benches/model/route.rs
+++ b/benches/model/route.rs
@@ -20,6 +20,7 @@
     ring: Ring,
     popularity: Vec<Popularity>,
     views: Vec<Vec<LoadView>>,
+    own: Vec<Vec<[u32; 5]>>,
     seen: Ms,
     rng: SmallRng,
 }
@@ -35,6 +36,7 @@
             ring: Ring::new(names),
             popularity: (0..ENTRIES).map(|_| Popularity::new(Ms::secs(30), hot)).collect(),
             views: vec![vec![view; names.len()]; ENTRIES],
+            own: vec![vec![[0; 5]; names.len()]; ENTRIES],
             seen: Ms(0),
             rng: SmallRng::seed_from_u64(7),
         }
@@ -49,6 +51,12 @@
         }
     }
 
+    /// An attempt starts to wait for a permit, or its reply arrives.
+    pub fn waits(&mut self, id: usize, engine: usize, team: usize, waits: bool) {
+        let own = &mut self.own[id % ENTRIES][engine][team];
+        *own = if waits { *own + 1 } else { *own - 1 };
+    }
+
     /// Least loaded engine other than the one that refused.
     pub fn elsewhere(&self, refused: usize) -> usize {
         let load = |e: &usize| self.views[0][*e].running + self.views[0][*e].queued;
@@ -89,6 +97,7 @@
             owned: true,
             home: homes.contains(&(e as u16)),
             prefix: 0,
+            own: self.own[entry][e][request.team],
         };
         let list: Vec<_> = (0..self.names.len()).map(candidate).collect();
         let place = PlaceRequest {
--- a/src/place.rs
+++ b/src/place.rs
@@ -13,6 +13,10 @@
 /// Preference of a home over another endpoint that has the adapter, in microseconds.
 const AWAY: u64 = 100_000;
 
+/// Jobs that go ahead of each waiting job of the request's own team, for the number of
+/// teams that usually compete.
+const TEAMS: u32 = 3;
+
 /// Most rendezvous choices of one adapter.
 pub const MAX_CHOICES: usize = 3;
 
@@ -70,6 +74,8 @@
     pub home: bool,
     /// Prompt tokens that its prefix cache holds.
     pub prefix: u32,
+    /// Attempts of the request's team that wait there for a permit, as far as known here.
+    pub own: u32,
 }
 
 /// What the choice depends on, apart from the candidates.
@@ -126,7 +132,7 @@
         // so that such copies fall out of use when the homes have room.
         if c.home || c.loaded {
             let cost = estimate(request, c) + if c.home { 0 } else { AWAY };
-            calm |= wait(request, c.load) < request.costs.overload.0 * 1_000;
+            calm |= wait(request, c) < request.costs.overload.0 * 1_000;
             let better = match best {
                 None => true,
                 Some((_, b)) if cost.abs_diff(b) < 2_000 => rng.random::<bool>(),
@@ -146,7 +152,7 @@
         (Some((home, _)), _) if calm => Some(home),
         (Some((home, cost)), Some((other, _))) => {
             // Where the whole cell is overloaded, a spill would only add loads.
-            let room = wait(request, candidates[other].load) < request.costs.overload.0 * 1_000;
+            let room = wait(request, &candidates[other]) < request.costs.overload.0 * 1_000;
             let better = room && estimate(request, &candidates[other]) < cost;
             Some(if better { other } else { home })
         }
@@ -163,11 +169,14 @@
     let domain = if c.same_domain { 0 } else { costs.domain.0 * 1_000 };
     // The load may have changed by as much as one request per place since the view was made.
     let stale = c.age.0.saturating_sub(500) * 100;
-    wait(request, c.load) + prefill + load + domain + stale
+    wait(request, c) + prefill + load + domain + stale
 }
 
 /// Estimated wait for a place in the batch, in microseconds.
-fn wait(request: &PlaceRequest, load: &LoadView) -> u64 {
+///
+/// Queues are fair by team: a team with few jobs in a long queue waits little.
+fn wait(request: &PlaceRequest, c: &Candidate<'_>) -> u64 {
+    let load = c.load;
     let batch = u64::from(load.batch.max(1));
     let running = u64::from(load.running);
     if running < batch {
@@ -175,7 +184,9 @@
         // batch makes each step slower.
         return request.costs.token * running / batch;
     }
-    (load.queued_tokens + request.tokens / 2) * request.costs.token / batch
+    let ahead = u64::from(load.queued.min(c.own.saturating_mul(TEAMS)));
+    let tokens = load.queued_tokens * ahead / u64::from(load.queued.max(1));
+    (tokens + request.tokens / 2) * request.costs.token / batch
 }
 
 /// The rendezvous choices of an adapter as positions in the ring, best first.
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -23,6 +23,7 @@
         owned,
         home,
         prefix: 0,
+        own: load.queued,
     };
     let list: Vec<_> = list.iter().map(|(l, a, h, o)| candidate((l, *a, *h, *o))).collect();
     let (tokens, prompt, deadline) = (500, 100, Ms(60_000));
