Test documents in which every cut falls into a multi-line text

A deliberate fault that ignored syntax errors in a part survived the property, because no cut had fallen into one of the short texts. With a text longer than a part it is caught.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -420,10 +420,10 @@
     fn holds(seed: u64) -> bool {
         let mut rng = SmallRng::seed_from_u64(seed);
         let (mut lines, faults) = generate(&mut rng);
+        let long = format!("\"\"\"\n{}\"\"\"", "[[team]]\n".repeat(8000));
         for n in 0..2000 {
-            // Some texts look like headers across the cuts; some entries have faults.
-            let text =
-                if rng.random_range(0..300) == 0 { "\"\"\"\n[[team]]\n\"\"\"" } else { "\"1\"" };
+            // A text longer than a part looks like headers; some entries have faults.
+            let text = if rng.random_range(0..1000) == 0 { &long } else { "\"1\"" };
             let model = if rng.random_range(0..300) == 0 { "x" } else { "m" };
             lines.push(format!(
                 "[[adapter]]\nname = \"big-{n}\"\nmodel = \"{model}\"\nopen = true\nversions = [{text}]\n"
