Run the unsent test on several threads

On one thread the client always noticed a close before it chose the connection, so no request was ever handed back unsent.

--- a/tests/border.rs
+++ b/tests/border.rs
@@ -230,8 +230,9 @@
 
 /// Guards against "not run" for a request that may have been received, and against
 /// moving such a request to another connection: whatever the server does with its
-/// connections, it sees no attempt twice, and none that is reported as unsent.
-#[tokio::test]
+/// connections, it sees no attempt twice, and none that is reported as unsent. Only
+/// with several threads do closes fall between the choice of a connection and its use.
+#[tokio::test(flavor = "multi_thread")]
 async fn unsent_means_that_nothing_was_written() {
     let seen = Seen::default();
     let listener = TcpListener::bind(any()).await.unwrap();
