--- a/src/core.rs
+++ b/src/core.rs
@@ -15,7 +15,7 @@
 use crate::authority::Authority;
 use crate::config::Config;
 use crate::engine::EngineState;
-use crate::entry::HeldPermit;
+use crate::entry::{Asked, HeldPermit};
 use crate::fleet::{Fleet, vm_name};
 use crate::generated::peer::{self, frame::Body};
 use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Node, Set, Team};
@@ -87,6 +87,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) owned: BTreeMap<Endpoint, Owned>,
     pub(crate) held: BTreeMap<AttemptId, HeldPermit>,
+    pub(crate) asked: Asked,
     pub(crate) popularity: Popularity,
     pub(crate) rng: SmallRng,
     pub(crate) draining: bool,
@@ -117,6 +118,7 @@
             fleet: Fleet::default(),
             owned: BTreeMap::new(),
             held: BTreeMap::new(),
+            asked: Asked::default(),
             popularity: Popularity::new(POPULARITY_LIFE, POPULARITY_HOT),
             rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
             draining: false,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{EndpointRow, Pool, vm_name};
 use crate::generated::peer::{self, frame::Body};
 use crate::grant::Outcome;
-use crate::ids::{AdapterRef, AttemptId, Endpoint, Node, RequestId, Team};
+use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Node, RequestId, Team};
 use crate::place::{self, Candidate, Costs, PlaceRequest};
 use crate::quota::{self, Reservation, Take};
 use crate::time::Ms;
@@ -20,6 +20,32 @@
     pub(crate) adapter: Option<AdapterRef>,
 }
 
+/// Requests of this entry node that wait for a permit, counted by endpoint and team.
+#[derive(Debug, Default)]
+pub(crate) struct Asked {
+    attempts: Map<AttemptId, (Endpoint, Team)>,
+    counts: Map<Endpoint, Map<Team, u32>>,
+}
+
+impl Asked {
+    fn add(&mut self, attempt: AttemptId, endpoint: &Endpoint, team: &Team) {
+        self.attempts.insert(attempt, (endpoint.clone(), team.clone()));
+        *self.counts.entry(endpoint.clone()).or_default().entry(team.clone()).or_default() += 1;
+    }
+
+    /// Forgets an attempt that has its reply or was withdrawn.
+    pub(crate) fn remove(&mut self, attempt: AttemptId) {
+        let Some((endpoint, team)) = self.attempts.remove(&attempt) else { return };
+        if let Some(n) = self.counts.get_mut(&endpoint).and_then(|c| c.get_mut(&team)) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
+    fn count(&self, endpoint: &Endpoint, team: &Team) -> u32 {
+        self.counts.get(endpoint).and_then(|c| c.get(team)).copied().unwrap_or(0)
+    }
+}
+
 /// What a request needs of an endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct Demand {
@@ -122,7 +148,7 @@
         if let Some(adapter) = &demand.adapter {
             self.popularity.on_request(now, adapter);
         }
-        let Self { fleet, popularity, rng, settings, .. } = self;
+        let Self { fleet, popularity, rng, settings, asked, .. } = self;
         let none = |seen: usize| {
             let message = format!("no endpoint of pool {:?} can take the request", demand.pool);
             Denial::new(Reason::NoEndpoint, message)
@@ -139,7 +165,8 @@
                 let row = &fleet.endpoints()[*i];
                 let usable = !excluded.contains(&row.name) && row.live_owner(now).is_some();
                 let home = demand.adapter.is_none() || homes.contains(&(at as u16));
-                usable.then(|| candidate(now, row, demand, home, &settings.domain))
+                let own = asked.count(&row.name, &demand.team);
+                usable.then(|| candidate(now, row, demand, home, own, &settings.domain))
             })
             .collect();
         let request = PlaceRequest {
@@ -182,6 +209,7 @@
             fingerprint: demand.fingerprint,
             repeatable: demand.repeatable,
         };
+        self.asked.add(attempt, endpoint, &demand.team);
         if *owner == self.me {
             let me = self.me.clone();
             self.on_permit_request(now, &me, &req, out);
@@ -192,6 +220,7 @@
 
     /// Notes a permit in use, so that a new owner can be told of it.
     pub(crate) fn hold(&mut self, attempt: AttemptId, permit: HeldPermit) {
+        self.asked.remove(attempt);
         self.held.insert(attempt, permit);
     }
 
@@ -203,6 +232,7 @@
         owner: &Node,
         out: &mut Vec<Out>,
     ) {
+        self.asked.remove(attempt);
         let cancel = peer::PermitCancel { attempt: wire::attempt_bytes(attempt) };
         match *owner == self.me {
             true => self.on_permit_cancel(now, &cancel),
@@ -253,6 +283,7 @@
     row: &'a EndpointRow,
     demand: &Demand,
     home: bool,
+    own: u32,
     domain: &str,
 ) -> Candidate<'a> {
     Candidate {
@@ -264,5 +295,6 @@
         owned: true,
         home,
         prefix: 0,
+        own,
     }
 }
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -202,6 +202,7 @@
         };
         waiting.answered = true;
         if !reply.granted {
+            self.with_core(|core, _, _| core.asked.remove(attempt));
             return Err(Refusal { reason: reply.reason, after: Ms(reply.retry_after) });
         }
         // Counted from before the request left, so that delays of the network
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -26,6 +26,7 @@
 use crate::ids::{AttemptId, Endpoint, KeyId, Map, Node, RequestId, Set, Team};
 use crate::keyed::ClaimEvent;
 use crate::lease::Level;
+use crate::log::Fields;
 use crate::metrics::Metrics;
 use crate::operate;
 use crate::owner::{AuthorityOut, Order, Resource};
@@ -509,6 +510,12 @@
         if let Some(config) = &*self.config.borrow() {
             refusal = refusal.fact("serial", config.serial());
         }
+        let mut fields = Fields::default().request(id);
+        if let Some(team) = &caller.team {
+            fields = fields.team(team);
+        }
+        let reason = denial.reason.code();
+        log::info!("{fields}refused: {reason}, ran: {}, {:?}", ran.as_str(), denial.facts);
         let team = caller.team.as_ref().map_or("", |t| t.as_str());
         self.metrics.refusals(1, team, denial.reason.code());
         self.recorder.lock().unwrap().push(refusal)
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -18,7 +18,8 @@
     let report = standin::load::run(d.plan(1000, 200.0, 7)).await;
     let total = &report.total;
     assert_eq!((total.wrong, total.broken), (0, 0), "{report:#?}");
-    assert_eq!(total.right, total.sent, "{report:#?}");
+    let refusals = d.client(&["refusals", "--settings", d.settings_file(0)]);
+    assert_eq!(total.right, total.sent, "{report:#?} {refusals:#}");
     assert!(report.kinds["stream"].sent > 300 && report.kinds["repeat"].sent > 20, "{report:#?}");
     for endpoint in &d.endpoints {
         let record = d.record(endpoint.addr).await;
