Count a peer or the table as heard from the request's sending

A paused process reads answers from before the pause when it resumes. Counted from their arrival they raised its level to fenced, so that it sent orders to endpoints that check fences although its lease had expired. Random schedules also get a new node that alone reaches the table.

--- a/src/authority.rs
+++ b/src/authority.rs
@@ -188,9 +188,10 @@
 
     /// Answer to [`AuthorityOut::Commit`]; an error means that the outcome is unknown.
     pub fn on_commit(&mut self, now: Ms, op: OpId, result: Result<Commit>) {
-        let Some((_, pending)) = self.ops.remove(&op) else { return };
+        let Some((sent, pending)) = self.ops.remove(&op) else { return };
         if result.is_ok() {
-            self.lease.hear(now);
+            // Counted from the request, because a paused process reads answers late.
+            self.lease.hear(sent);
         }
         match pending {
             Pending::Renew(row) => self.on_renewal(now, &row, result),
@@ -214,7 +215,7 @@
 
     /// Answer to [`AuthorityOut::Scan`] or [`AuthorityOut::Get`].
     pub fn on_rows(&mut self, now: Ms, op: OpId, result: Result<Vec<Row>>) {
-        let Some((_, pending)) = self.ops.remove(&op) else { return };
+        let Some((sent, pending)) = self.ops.remove(&op) else { return };
         let Ok(rows) = result else {
             match pending {
                 Pending::Own => self.lease.fail(),
@@ -222,7 +223,7 @@
             }
             return;
         };
-        self.lease.hear(now);
+        self.lease.hear(sent);
         match pending {
             Pending::Own => self.on_own_row(now, rows.into_iter().next()),
             Pending::Scan => self.on_scan(now, op, &rows),
@@ -243,7 +244,7 @@
 
     /// Answer to [`AuthorityOut::AskPromise`]; `sent` is the request's sending time.
     pub fn on_promise(&mut self, now: Ms, from: &Node, sent: Ms, valid: Ms, given: bool) {
-        self.lease.hear(now);
+        self.lease.hear(sent.min(now));
         if given && sent <= now {
             self.promises.receive(from, sent, valid, self.lease.settings());
         }
@@ -258,7 +259,7 @@
             ProbeResult::Silent => {}
             ProbeResult::Reached { level } => {
                 probed.report = Some((sent, level));
-                self.lease.hear(now);
+                self.lease.hear(sent.min(now));
             }
         }
     }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -269,7 +269,7 @@
         self.until = self.until.max(end);
         self.failing = false;
         self.sent = None;
-        self.hear(now);
+        self.hear(row.sent.min(now));
     }
 
     /// Extends the lease up to `end`, within the bound and without a gap.
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -159,7 +159,8 @@
         let live: Vec<_> = (0..cell.members.len()).filter(|i| !cell.members[*i].killed).collect();
         let (a, b) = (live[usize::from(a) % live.len()], live[usize::from(b) % live.len()]);
         let wait = u64::from(wait % 4_000);
-        match kind % 12 {
+        let others = || live.iter().filter(|i| **i != a);
+        match kind % 14 {
             0 => {
                 cell.members[a].killed = true;
                 cell.members[a].host_down = wait % 2 == 0;
@@ -167,12 +168,19 @@
             }
             1 | 2 => cell.members[a].paused = cell.now + wait * 3,
             3 | 4 => cell.cut(a, b, a != b),
-            5 => live.iter().filter(|i| **i != a).for_each(|i| cell.cut(*i, a, true)),
-            6 => cell.members[a].table_cut = true,
-            7 => cell.members[a].table_cut = false,
+            5 => others().for_each(|i| cell.cut(*i, a, true)),
+            6 => others().for_each(|i| cell.members[*i].table_cut = true),
+            7 => live.iter().for_each(|i| cell.members[*i].table_cut = false),
             8 => cell.outage = !cell.outage,
             9 => cell.loss = if cell.loss == 0 { 30 } else { 0 },
             10 => cell.cuts.clear(),
+            11 => cell.members[a].table_cut = true,
+            12 => {
+                // Only the new node has the table, and only the others have each other.
+                let new = cell.join(false);
+                live.iter().for_each(|i| cell.members[*i].table_cut = true);
+                live.iter().for_each(|i| cell.cut(*i, new, true));
+            }
             _ => cell.run(wait * 8),
         }
         cell.run(wait);
