--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -499,3 +499,36 @@
         assert!(world.most_asks <= 1, "case {case}: {} rounds for a request", world.most_asks);
     }
 }
+
+/// Guards against capacity that is granted twice while stock is on its way,
+/// permits that are lent again while in use, and refill over a pause.
+#[test]
+fn lender_keeps_debits_for_the_term() {
+    let team = Team::new("team");
+    let spec = RateSpec { rate: 1000, burst: 1000, concurrent: Some(4) };
+    let mut lender = Quota::new(Settings::default());
+    lender.set_rates(Ms(0), &[(team.clone(), spec)]);
+    for seat in 0..SEATS {
+        lender.gain_seat(Ms(0), &team, seat, Ms(0));
+    }
+    lender.levels(Ms(1000));
+    let asks = [(1, 0, 400 * MICRO, 3), (2, 1, 0, 0), (3, 2, 0, 0)];
+    let peer = Node::new("peer");
+    // Capacity in tokens and permits that are left after each ask.
+    for ((id, holds, stock, permits), left) in
+        asks.into_iter().zip([(600, 1), (1000, 1), (1000, 1)])
+    {
+        let ask = LoanAsk { team: team.clone(), id, holds, stock, rate: 0, burst: 0, permits };
+        let loan = lender.on_ask(Ms(1000 + id), &peer, &ask).unwrap();
+        assert_eq!((loan.stock, loan.permits), (stock, permits));
+        let repeated = lender.on_ask(Ms(1000 + id), &peer, &ask);
+        assert!(repeated.is_none_or(|l| l.stock + l.permits == 0), "ask {id} lent twice");
+        let ledger = lender.ledger(&team);
+        assert_eq!((ledger.capacity / MICRO as i64, ledger.permits), left, "after ask {id}");
+    }
+    lender.levels(Ms(1100));
+    let before = lender.ledger(&team).stock;
+    lender.levels(Ms(9000));
+    let ledger = lender.ledger(&team);
+    assert_eq!((ledger.stock, ledger.permits), (before, 4));
+}
