Share scarce rate in proportion and return loans early

With two or more busy nodes at 95 % of the rate, up to 16 % of requests were refused although tokens lay at a peer: a lender kept its whole forecast, borrowers kept loans for the whole term, and stock below one second of the lender's use was never lent. Lenders now share in proportion to all needs, half of the stock may always be lent, and a borrower returns shares that it no longer needs.

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -71,6 +71,14 @@
         }
     }
 
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            burst: self.burst.min(other.burst),
+            permits: self.permits.min(other.permits),
+        }
+    }
+
     pub fn minus(self, other: Self) -> Self {
         Self {
             rate: self.rate.saturating_sub(other.rate),
@@ -158,10 +166,11 @@
         long.max(sum(3) * 1000 / part)
     }
 
-    /// Most reservations that were open at once in the last two seconds.
+    /// Most reservations that were open at once in the last quarter to half second.
     pub fn open(&mut self, now: Ms) -> u64 {
         self.roll(now);
-        self.open.iter().copied().max().unwrap_or(0)
+        let slot = |k: u64| self.open[((self.epoch + SLOTS as u64 - k) % SLOTS as u64) as usize];
+        slot(0).max(slot(1))
     }
 
     /// Largest request of the last two seconds, in tokens.
@@ -362,6 +371,13 @@
         self.refresh();
     }
 
+    /// Cuts the loans up to `holds` to what their borrower says that it kept.
+    pub fn cut_lent(&mut self, from: &Node, holds: u64, kept: Share) {
+        for loan in self.lent.iter_mut().filter(|l| l.to == *from && l.id <= holds) {
+            loan.share = loan.share.min(kept);
+        }
+    }
+
     /// Shares that this node needs for its own demand.
     pub fn need(&mut self, now: Ms, tokens: u64) -> Share {
         let forecast = self.demand.forecast(now);
@@ -370,10 +386,11 @@
         // Room for two of the largest requests and for one second of use.
         let room = (2 * self.demand.largest(now).max(tokens)).max(forecast);
         let permits = match self.spec.concurrent {
-            Some(all) if tokens > 0 || forecast > 0 => {
-                (self.in_use.max(self.demand.open(now)) + 1).min(all)
+            Some(all) => {
+                let open = self.in_use.max(self.demand.open(now));
+                open.max((self.in_use + 1) * u64::from(tokens > 0)).min(all)
             }
-            _ => 0,
+            None => 0,
         };
         Share { rate, burst: shares(room, self.spec.burst).max(rate), permits }
     }
--- a/src/loan.rs
+++ b/src/loan.rs
@@ -59,6 +59,8 @@
     pub id: u64,
     /// Newest loan of the receiver that the asker has received, or 0.
     pub holds: u64,
+    /// Whether the asker has already cut its held loan to the shares below.
+    pub returns: bool,
     /// Micro-tokens wanted at once.
     pub stock: u64,
     /// Rate wanted in place of the held loan, in parts of [`SHARES`](crate::quota::SHARES).
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -267,7 +267,8 @@
         }
         let mut teams: Vec<Team> = Vec::new();
         for (team, entry) in &mut self.teams {
-            if entry.known && entry.bucket.demand.forecast(now) > 0 {
+            let used = entry.bucket.demand.forecast(now) > 0 || !entry.bucket.borrowed.is_empty();
+            if entry.known && used {
                 teams.push(team.clone());
             }
         }
@@ -309,17 +310,29 @@
         let mut permits = lack.permits;
         for (node, level) in levels {
             let held = bucket.borrowed.iter().find(|b| b.from == *node);
+            let idle = bucket.permits(now, self.settings.hold).saturating_sub(bucket.in_use);
+            let held_permits = held.map_or(0, |b| b.share.permits);
             let ask = LoanAsk {
                 team: team.clone(),
                 id: self.next_id + 1,
                 holds: held.map_or(0, |b| b.id),
+                returns: false,
                 stock: portion(want, level.stock, stock).min(level.stock.saturating_mul(2)),
                 rate: portion(lack.rate, level.rate, rate),
                 burst: portion(lack.burst, level.burst, burst),
-                permits: permits.min(level.permits),
+                // A permit that an open reservation may count on is not returned.
+                permits: permits.min(level.permits).max(held_permits.saturating_sub(idle)),
             };
-            permits -= ask.permits;
-            if ask.stock + ask.rate + ask.burst + ask.permits == 0 {
+            permits = permits.saturating_sub(ask.permits);
+            let share = Share { rate: ask.rate, burst: ask.burst, permits: ask.permits };
+            // Shares that are no longer needed go back before their loan ends.
+            let returns = !urgent
+                && held.is_some_and(|b| {
+                    b.share.rate > share.rate + SHARES / 8
+                        || b.share.burst > share.burst + SHARES / 8
+                        || held_permits > share.permits
+                });
+            if ask.stock == 0 && share == Share::default() && !returns {
                 continue;
             }
             let newest = self.pending.iter().filter(|p| p.node == *node && p.team == *team);
@@ -335,8 +348,15 @@
                     || ask.permits > b.share.permits
             });
             let due = held.is_some_and(|b| b.end <= now + Ms(term.0 / 2));
-            if urgent || grows || due {
+            if urgent || grows || due || returns {
                 self.next_id += 1;
+                let ask = LoanAsk { returns, ..ask };
+                if let Some(held) = bucket.borrowed.iter_mut().find(|b| b.from == *node)
+                    && returns
+                {
+                    held.share = held.share.min(share);
+                    bucket.refresh();
+                }
                 let (team, node) = (team.clone(), node.clone());
                 self.pending.push(Pending { team, node, id: ask.id, sent: now, open: true });
                 asks.push((self.pending[self.pending.len() - 1].node.clone(), ask));
@@ -358,6 +378,10 @@
         }
         bucket.acknowledge(from, ask.holds);
         let want = Share { rate: ask.rate, burst: ask.burst, permits: ask.permits };
+        if ask.returns {
+            bucket.cut_lent(from, ask.holds, want);
+            bucket.refresh();
+        }
         entry.wants.retain(|(n, _, at)| n != from && now.since(*at) < term);
         let held: u64 = bucket.lent.iter().filter(|l| l.to == *from).map(|l| l.share.permits).sum();
         let waiting = entry.wants.iter().any(|(n, w, _)| {
@@ -366,10 +390,13 @@
         entry.wants.push((from.clone(), want, now));
 
         let keep = bucket.need(now, 0);
-        let own = bucket.own.minus(keep);
-        let free = own.minus(bucket.lent_to(Some(from)));
-        // Where the wishes exceed what can be lent, each borrower gets its part.
-        let all = |f: fn(&Share) -> u64| entry.wants.iter().map(|(_, w, _)| f(w)).sum::<u64>();
+        let own = bucket.own;
+        let mut free = own.minus(bucket.lent_to(Some(from)));
+        free.permits = free.permits.saturating_sub(bucket.in_use);
+        // Where the wishes, the lender's own included, exceed what it has, each
+        // gets its part.
+        let all =
+            |f: fn(&Share) -> u64| f(&keep) + entry.wants.iter().map(|(_, w, _)| f(w)).sum::<u64>();
         let fair = |want: u64, all: u64, own: u64| match all > own {
             true => (u128::from(own) * u128::from(want) / u128::from(all)) as u64,
             false => want,
@@ -448,12 +475,14 @@
             if self.suspended || !entry.known {
                 continue;
             }
-            let own = bucket.own.minus(bucket.need(now, 0));
+            let own = bucket.own;
+            let free = own.minus(bucket.need(now, 0));
             levels.push(Level {
                 team: team.clone(),
                 stock: spare(bucket, now),
-                rate: own.rate,
-                burst: own.burst,
+                // A busy node shares in proportion, so it is asked for a little.
+                rate: free.rate.max(own.rate / 8),
+                burst: free.burst.max(own.burst / 8),
                 permits: own.permits,
             });
         }
@@ -500,10 +529,12 @@
     Take::Refused { reason, retry_after }
 }
 
-/// Micro-tokens beyond one second of the node's own use.
+/// Micro-tokens to lend: what exceeds one second of the node's own use, but at
+/// least half, because a request at hand counts more than an expected one.
 fn spare(bucket: &mut Bucket, now: Ms) -> u64 {
     let keep = bucket.demand.forecast(now).max(bucket.demand.largest(now));
-    u64::try_from(bucket.stock).unwrap_or(0).saturating_sub(keep.saturating_mul(MICRO))
+    let stock = u64::try_from(bucket.stock).unwrap_or(0);
+    stock.saturating_sub(keep.saturating_mul(MICRO)).max(stock / 2)
 }
 
 /// The part of `amount` that falls to a peer with `level` of `sum`, rounded up.
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -518,7 +518,16 @@
     for ((id, holds, stock, permits), left) in
         asks.into_iter().zip([(600, 1), (1000, 1), (1000, 1)])
     {
-        let ask = LoanAsk { team: team.clone(), id, holds, stock, rate: 0, burst: 0, permits };
+        let ask = LoanAsk {
+            team: team.clone(),
+            id,
+            holds,
+            returns: false,
+            stock,
+            rate: 0,
+            burst: 0,
+            permits,
+        };
         let loan = lender.on_ask(Ms(1000 + id), &peer, &ask).unwrap();
         assert_eq!((loan.stock, loan.permits), (stock, permits));
         let repeated = lender.on_ask(Ms(1000 + id), &peer, &ask);
