--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -95,6 +95,8 @@
     pub id: u64,
     pub end: Ms,
     pub share: Share,
+    /// Whether other nodes wait for the permits.
+    pub scarce: bool,
 }
 
 /// Loan given to a peer.
@@ -387,7 +389,10 @@
         let room = (2 * self.demand.largest(now).max(tokens)).max(forecast);
         let permits = match self.spec.concurrent {
             Some(all) => {
-                let open = self.in_use.max(self.demand.open(now));
+                // Idle permits are kept for the next use unless others wait for them.
+                let scarce = self.borrowed.iter().any(|b| b.scarce);
+                let kept = if scarce { 0 } else { self.demand.open(now) };
+                let open = self.in_use.max(kept);
                 open.max((self.in_use + 1) * u64::from(tokens > 0)).min(all)
             }
             None => 0,
--- a/src/loan.rs
+++ b/src/loan.rs
@@ -86,6 +86,8 @@
     pub burst: u64,
     /// Permits handed over.
     pub permits: u64,
+    /// Whether others wait for permits, so that idle ones go back at once.
+    pub scarce: bool,
     /// Duration of the loan from the sending of its ask.
     pub term: Ms,
 }
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -108,6 +108,8 @@
     known: bool,
     asked: Option<Ms>,
     wants: Vec<(Node, Share, Ms)>,
+    /// Until when permits count as scarce.
+    scarce: Ms,
 }
 
 /// Seats, buckets and loans of one node.
@@ -183,6 +185,7 @@
             known: false,
             asked: None,
             wants: Vec::new(),
+            scarce: Ms(0),
         })
     }
 
@@ -227,6 +230,9 @@
             bucket.demand.add(now, tokens, bucket.in_use);
             return Take::Granted(Reservation { team: team.clone(), tokens, permit: limited });
         }
+        if !free {
+            entry.scarce = now + Ms(self.settings.term.0 / 2);
+        }
         let wait = self.settings.wait;
         let open = |p: &Pending| p.open && p.team == *team && now.since(p.sent) < wait;
         let cooling = entry.asked.is_some_and(|at| now.since(at) < self.settings.cool);
@@ -337,7 +343,7 @@
             }
             let newest = self.pending.iter().filter(|p| p.node == *node && p.team == *team);
             let asked = newest.map(|p| p.sent).max();
-            let pause = if urgent { cool } else { Ms(cool.0 * 5) };
+            let pause = if urgent || returns { cool } else { Ms(cool.0 * 5) };
             if asked.is_some_and(|at| now.since(at) < pause) {
                 continue;
             }
@@ -410,6 +416,10 @@
                 false => want.permits.min(free.permits),
             },
         };
+        if share.permits < want.permits {
+            entry.scarce = now + Ms(term.0 / 2);
+        }
+        let scarce = now < entry.scarce;
         let spare = spare(bucket, now);
         let stock = ask.stock.min(spare);
         bucket.stock -= stock as i64;
@@ -422,7 +432,7 @@
             }
         }
         let Share { rate, burst, permits } = share;
-        Some(Loan { team: ask.team.clone(), id: ask.id, stock, rate, burst, permits, term })
+        Some(Loan { team: ask.team.clone(), id: ask.id, stock, rate, burst, permits, scarce, term })
     }
 
     /// Adds a loan that answers an ask of this node; others are dropped.
@@ -446,7 +456,8 @@
         }
         bucket.borrowed.retain(|b| b.from != *from);
         let share = Share { rate: loan.rate, burst: loan.burst, permits: loan.permits };
-        bucket.borrowed.push(Borrowed { from: from.clone(), id: loan.id, end, share });
+        let (from, id, scarce) = (from.clone(), loan.id, loan.scarce);
+        bucket.borrowed.push(Borrowed { from, id, end, share, scarce });
         bucket.refresh();
         let stock = i64::try_from(loan.stock).unwrap_or(i64::MAX);
         bucket.stock = bucket.stock.saturating_add(stock).min(bucket.cap);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -47,8 +47,8 @@
     spec: RateSpec,
     paused: Option<(u64, u64)>,
     inbox: Vec<(u64, Msg)>,
-    /// Requests that wait for loans: tokens, asks made, next try.
-    waiting: Vec<(u64, u32, u64)>,
+    /// Requests that wait for loans: tokens, rounds of asks, hold, next try.
+    waiting: Vec<(u64, u32, u64, u64)>,
     held: Vec<(u64, u64, Reservation)>,
     generation: u32,
 }
@@ -174,7 +174,8 @@
             Take::Borrow => {
                 let n = &mut self.nodes[node];
                 let list = n.quota.asks(now, &team, tokens, &n.peers);
-                n.waiting.push((tokens, asks + u32::from(!list.is_empty()), self.now + TICK));
+                let rounds = asks + u32::from(!list.is_empty());
+                n.waiting.push((tokens, rounds, hold, self.now + TICK));
                 self.send_asks(node, list);
             }
             Take::Refused { reason, .. } => {
@@ -235,12 +236,11 @@
                 self.send_asks(i, asks);
             }
             let waiting = std::mem::take(&mut self.nodes[i].waiting);
-            for (tokens, asks, at) in waiting {
+            for (tokens, asks, hold, at) in waiting {
                 if at <= self.now {
-                    let hold = self.rng.random_range(0..1500);
                     self.take(i, now, tokens, asks, hold);
                 } else {
-                    self.nodes[i].waiting.push((tokens, asks, at));
+                    self.nodes[i].waiting.push((tokens, asks, hold, at));
                 }
             }
         }
