Refuse requests that carry the caller's key, and bound the headers

A key in the body, path or query would have reached the endpoint, because only headers were filtered; the limit on headers in the settings was not applied. tests/processes.rs failed for the three cases first (404 and 200 in place of 400 and 431) and passes now.

--- a/src/denial.rs
+++ b/src/denial.rs
@@ -14,6 +14,10 @@
     BadBody,
     /// A header is malformed.
     BadHeader,
+    /// All headers together exceed the limit.
+    HeadersTooLarge,
+    /// The path or the body contains the caller's key, which no endpoint may see.
+    KeyInRequest,
     /// The body exceeds the limit.
     BodyTooLarge,
     /// The body did not arrive in time.
@@ -76,6 +80,8 @@
 pub const REASONS: &[Reason] = &[
     Reason::BadBody,
     Reason::BadHeader,
+    Reason::HeadersTooLarge,
+    Reason::KeyInRequest,
     Reason::BodyTooLarge,
     Reason::SlowBody,
     Reason::MissingKey,
@@ -137,6 +143,8 @@
         match self {
             Self::BadBody => (400, "bad_body"),
             Self::BadHeader => (400, "bad_header"),
+            Self::HeadersTooLarge => (431, "headers_too_large"),
+            Self::KeyInRequest => (400, "key_in_request"),
             Self::BodyTooLarge => (413, "body_too_large"),
             Self::SlowBody => (408, "slow_body"),
             Self::MissingKey => (401, "missing_key"),
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::keys;
 use crate::openai::{Completion, ErrorBody, ErrorView, ModelEntry};
 use crate::serve::{self, Answer, Caller};
+use crate::service::holds_key;
 use crate::shell::{Ports, Shell};
 
 /// Longest idempotency key in bytes.
@@ -42,6 +43,7 @@
     }
 
     async fn dispatch(&self, mut req: Request, id: RequestId) -> Result<Response, Refused> {
+        self.check_headers(req.headers())?;
         let path = req.uri().path().to_owned();
         match (req.method().clone(), path.as_str()) {
             (Method::GET, "/healthz") => Ok(text(StatusCode::OK, "ok\n")),
@@ -87,6 +89,7 @@
         let caller = authenticate(&config, req.headers())?;
         let mut refused = Refused::by(&caller);
         let body = self.body(req).await.map_err(|d| refused.with(d))?;
+        check_key(req, &body).map_err(|d| refused.with(d))?;
         let parsed = Completion::parse(&body, chat)
             .map_err(|e| refused.with(Denial::new(Reason::BadBody, e)))?;
         refused.target = Some(parsed.model.clone());
@@ -126,6 +129,7 @@
         let team = serve::route_team(route, &caller).map_err(|d| refused.with(d))?;
         let key = idempotency_key(req.headers()).map_err(|d| refused.with(d))?;
         let body = self.body(req).await.map_err(|d| refused.with(d))?;
+        check_key(req, &body).map_err(|d| refused.with(d))?;
         let mut path = format!("/{tail}");
         if let Some(query) = req.uri().query() {
             path = format!("{path}?{query}");
@@ -145,6 +149,16 @@
         answer.map(|a| respond(a, id)).map_err(|d| refused.with(d))
     }
 
+    fn check_headers(&self, headers: &HeaderMap) -> Result<(), Denial> {
+        let limit = self.shell.limits().header;
+        let size: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+        if size as u64 <= limit {
+            return Ok(());
+        }
+        let message = format!("the headers exceed {limit} bytes");
+        Err(Denial::new(Reason::HeadersTooLarge, message))
+    }
+
     async fn body(&self, req: &mut Request) -> Result<Bytes, Denial> {
         let limits = self.shell.limits();
         let max = usize::try_from(limits.body).unwrap_or(usize::MAX);
@@ -216,6 +230,22 @@
     }
 }
 
+/// The key that came with a request.
+fn presented(headers: &HeaderMap) -> Option<&str> {
+    let text = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    text.split_once(' ').map(|(_, key)| key.trim())
+}
+
+/// Refuses a request that would carry the caller's key to an endpoint.
+fn check_key(req: &Request, body: &[u8]) -> Result<(), Denial> {
+    let Some(key) = presented(req.headers()) else { return Ok(()) };
+    if !holds_key(body, key) && !holds_key(req.uri().to_string().as_bytes(), key) {
+        return Ok(());
+    }
+    let message = "the path or the body contains the caller's key, which endpoints may not see";
+    Err(Denial::new(Reason::KeyInRequest, message))
+}
+
 /// Finds the team of the key that came with a request.
 fn authenticate(config: &Config, headers: &HeaderMap) -> Result<Caller, Denial> {
     let Some(field) = headers.get(header::AUTHORIZATION) else {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -36,6 +36,12 @@
     }
 }
 
+/// Longer than the default limit of 16 KiB for all headers.
+const LONG: &str = match str::from_utf8(&[b'x'; 20_000]) {
+    Ok(text) => text,
+    Err(_) => "",
+};
+
 struct Case {
     name: &'static str,
     path: &'static str,
@@ -87,6 +93,27 @@
             headers: &[("authorization", "Basic abc")],
             ..case("bad header", chat, None, ask(&own), 400, "bad_header")
         },
+        case(
+            "key in the body",
+            chat,
+            key,
+            json!({"model": own,
+            "messages": [{"role": "user", "content": KEYS[0]}]}),
+            400,
+            "key_in_request",
+        ),
+        case(
+            "key in the path",
+            "/services/bookings/sf_first-team-key",
+            key,
+            json!({}),
+            400,
+            "key_in_request",
+        ),
+        Case {
+            headers: &[("x-long", LONG)],
+            ..case("long headers", chat, key, ask(&own), 431, "headers_too_large")
+        },
         Case {
             headers: &[("idempotency-key", "")],
             ..case(
