Gather the stock of busy peers for a waiting request

A request larger than half of the stock of each busy peer could not be served although the sum sufficed. An ask now names what the waiting request lacks; lenders hand that over with the capacity for it.

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -385,8 +385,8 @@
         let forecast = self.demand.forecast(now);
         // A tenth above the forecast keeps the stock from running down between renewals.
         let rate = shares(forecast + forecast / 10, self.spec.rate);
-        // Room for two of the largest requests and for one second of use.
-        let room = (2 * self.demand.largest(now).max(tokens)).max(forecast);
+        // Room for two of the largest requests, and for one second of use.
+        let room = (2 * self.demand.largest(now)).max(tokens).max(forecast);
         let permits = match self.spec.concurrent {
             Some(all) => {
                 // Idle permits are kept for the next use unless others wait for them.
@@ -407,7 +407,7 @@
 }
 
 /// Shares of `whole` that make up `amount`, rounded up.
-fn shares(amount: u64, whole: u64) -> u64 {
+pub(crate) fn shares(amount: u64, whole: u64) -> u64 {
     if whole == 0 {
         return 0;
     }
--- a/src/loan.rs
+++ b/src/loan.rs
@@ -63,6 +63,8 @@
     pub returns: bool,
     /// Micro-tokens wanted at once.
     pub stock: u64,
+    /// Micro-tokens, and capacity for them, that a waiting request lacks.
+    pub least: u64,
     /// Rate wanted in place of the held loan, in parts of [`SHARES`](crate::quota::SHARES).
     pub rate: u64,
     /// Capacity wanted in place of the held loan, in parts of [`SHARES`](crate::quota::SHARES).
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -13,7 +13,7 @@
 //! paused node with an older reading may have lost the seats it would lend. [`Quota::levels`] must run at least every
 //! [`Settings::gap`], because refill is dropped over longer silences.
 
-use crate::bucket::{Borrowed, Bucket, Lent, MICRO, Share};
+use crate::bucket::{Borrowed, Bucket, Lent, MICRO, SPEC_MAX, Share, part, shares};
 pub use crate::bucket::{RateSpec, SEATS, SHARES};
 use crate::ids::{Map, Node, Team};
 pub use crate::loan::{Level, Loan, LoanAsk, Peers, Settings};
@@ -305,10 +305,12 @@
         }
         let need = bucket.need(now, tokens);
         let lack = need.minus(bucket.own.minus(bucket.lent_to(None)));
-        let target = crate::bucket::part(bucket.spec.burst * MICRO, need.burst);
+        let target = part(bucket.spec.burst * MICRO, need.burst);
         let short = (target as i64).saturating_sub(bucket.stock).max(0) as u64;
         // Levels lag by a heartbeat, so a request at hand asks for twice the shortage.
         let want = short * (1 + u64::from(urgent));
+        let least = ((tokens * MICRO) as i64).saturating_sub(bucket.stock).max(0) as u64 * 2;
+        let least = least * u64::from(urgent);
         let levels: Vec<(&Node, &Level)> =
             peers.0.iter().filter_map(|(n, l)| Some((n, l.get(team)?))).collect();
         let sum = |f: fn(&Level) -> u64| levels.iter().map(|(_, l)| f(l)).sum::<u64>();
@@ -324,6 +326,7 @@
                 holds: held.map_or(0, |b| b.id),
                 returns: false,
                 stock: portion(want, level.stock, stock).min(level.stock.saturating_mul(2)),
+                least: portion(least, level.stock, stock),
                 rate: portion(lack.rate, level.rate, rate),
                 burst: portion(lack.burst, level.burst, burst),
                 // A permit that an open reservation may count on is not returned.
@@ -407,9 +410,14 @@
             true => (u128::from(own) * u128::from(want) / u128::from(all)) as u64,
             false => want,
         };
+        let all_stock = u64::try_from(bucket.stock).unwrap_or(0);
+        let least = ask.least.min(all_stock).min(part(bucket.spec.burst * MICRO, free.burst));
+        let stock = ask.stock.min(spare(bucket, now)).max(least);
+        let burst = fair(want.burst, all(|w| w.burst), own.burst);
         let share = Share {
             rate: fair(want.rate, all(|w| w.rate), own.rate).min(free.rate),
-            burst: fair(want.burst, all(|w| w.burst), own.burst).min(free.burst),
+            // The lender does not need the capacity of tokens that it hands over.
+            burst: burst.max(shares(least, bucket.spec.burst * MICRO)).min(free.burst),
             // A holder passes its permits on when another borrower waits for some.
             permits: match held > 0 && waiting {
                 true => 0,
@@ -420,8 +428,6 @@
             entry.scarce = now + Ms(term.0 / 2);
         }
         let scarce = now < entry.scarce;
-        let spare = spare(bucket, now);
-        let stock = ask.stock.min(spare);
         bucket.stock -= stock as i64;
         if stock > 0 || share != Share::default() {
             let (to, id, flight) = (from.clone(), ask.id, stock);
@@ -471,7 +477,7 @@
         let bucket = &mut entry.bucket;
         bucket.refill(now, accrue);
         bucket.in_use = bucket.in_use.saturating_sub(1);
-        let unused = reservation.tokens as i64 - used.min(crate::bucket::SPEC_MAX) as i64;
+        let unused = reservation.tokens as i64 - used.min(SPEC_MAX) as i64;
         bucket.demand.give_back(now, unused.max(0) as u64);
         bucket.stock = bucket.stock.saturating_add(unused * MICRO as i64).min(bucket.cap);
     }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -524,6 +524,7 @@
             holds,
             returns: false,
             stock,
+            least: 0,
             rate: 0,
             burst: 0,
             permits,
