--- a/benches/model/mod.rs
+++ b/benches/model/mod.rs
@@ -4,6 +4,7 @@
 //! per running request and takes longer with more requests, more distinct adapters and the
 //! prompts that join.
 
+pub mod bound;
 pub mod fifo;
 pub mod route;
 pub mod store;
--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -13,9 +13,13 @@
 //! - worst team: lowest weighted answers over fair share of any team;
 //! - refused: requests per 1,000 of teams within their rate that got no first token by their
 //!   deadline.
+//!
+//! The lower bound is that of one cache with the slots of all engines, instant loads, no pins
+//! and knowledge of the future.
 
 mod model;
 
+use model::bound::clairvoyant;
 use model::traffic::{FLOOD, Traffic};
 use model::{Deployment, Policy, Report, Sim, engine_rate, fair_share};
 
@@ -56,7 +60,8 @@
                 let flooding = (flood > 1.0).then_some(FLOOD);
                 print(name, report, flooding, (length - warm) as f64 / 1e6);
             }
-            println!();
+            let bound = clairvoyant(&traffic, deployment.engines, warm);
+            println!("\nLower bound of load stalls without prefetching: {bound:.1}\n");
         }
     }
 }
