--- a/benches/model/mod.rs
+++ b/benches/model/mod.rs
@@ -257,10 +257,17 @@
     }
 
     fn arrive(&mut self, id: usize) {
-        let request = &self.traffic.requests[id];
-        let adapter = &self.traffic.adapters[request.adapter];
-        let engine = self.router.route(self.ms(), id, request, adapter, &self.engines_busy());
-        self.send(id, engine);
+        if let Some(engine) = self.route(id, &[]) {
+            self.send(id, engine);
+        }
+    }
+
+    fn route(&mut self, id: usize, tried: &[usize]) -> Option<usize> {
+        let traffic = self.traffic;
+        let request = &traffic.requests[id];
+        let names = (&traffic.teams[request.team], &traffic.adapters[request.adapter]);
+        let (now, busy) = (self.ms(), self.engines_busy());
+        self.router.route(now, id, request, names, &busy, tried)
     }
 
     fn engines_busy(&self) -> Vec<usize> {
@@ -287,7 +294,6 @@
                     arrived: now,
                 };
                 let mut out = Vec::new();
-                self.router.waits(id, engine, request.team, true);
                 sched.submit(now, job, &mut out);
                 self.apply(engine, out);
                 self.poll(engine);
@@ -330,18 +336,17 @@
             match output {
                 SchedOut::Grant { attempt } => {
                     let id = attempt.0 as usize;
-                    self.router.waits(id, engine, self.traffic.requests[id].team, false);
+                    self.replied(id, engine);
                     self.start(engine, id);
                 }
                 SchedOut::Refuse { attempt, reason, .. } => {
                     let id = attempt.0 as usize;
-                    self.router.waits(id, engine, self.traffic.requests[id].team, false);
+                    self.replied(id, engine);
                     let again = matches!(reason, RefuseReason::Deadline | RefuseReason::Full);
-                    if again && !std::mem::replace(&mut self.retried[id], true) {
-                        let other = self.router.elsewhere(engine);
-                        self.send(id, other);
-                    } else {
-                        self.refuse(engine, id, reason);
+                    let again = again && !std::mem::replace(&mut self.retried[id], true);
+                    match again.then(|| self.route(id, &[engine])).flatten() {
+                        Some(other) => self.send(id, other),
+                        None => self.refuse(engine, id, reason),
                     }
                 }
                 SchedOut::Load { adapter } => {
@@ -359,6 +364,11 @@
         }
     }
 
+    fn replied(&mut self, id: usize, engine: usize) {
+        let team = self.traffic.requests[id].team;
+        self.router.on_reply(id, engine, &self.traffic.teams[team]);
+    }
+
     fn refuse(&mut self, engine: usize, id: usize, reason: RefuseReason) {
         let request = &self.traffic.requests[id];
         let present = self.since[engine].contains_key(&request.adapter);
@@ -468,11 +478,11 @@
 
     fn view(&mut self) {
         let now = self.ms();
-        let views = self.locals.iter().map(|l| match l {
-            Local::Ours(sched) => Some(sched.load_view(now)),
-            Local::Fifo(_) => None,
-        });
-        self.router.on_views(now, views.collect());
+        for (e, local) in self.locals.iter().enumerate() {
+            if let Local::Ours(sched) = local {
+                self.router.on_view(now, e, &sched.load_view(now));
+            }
+        }
         self.push(self.now + VIEW, Event::View);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! I/O that take the time, inputs and random numbers as arguments; the shell
 //! around them carries inputs and outputs.
 
+pub mod cell;
 pub mod error;
 pub mod ids;
 pub mod loads;
--- a/src/place.rs
+++ b/src/place.rs
@@ -123,16 +123,28 @@
     candidates: &[Candidate<'_>],
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let usable = |c: &Candidate<'_>| c.owned && c.load.healthy && !c.load.leaving;
+    choose_from(request, candidates.iter().copied(), rng)
+}
+
+/// Position of the chosen candidate, as [`choose`], without a slice of all candidates.
+pub fn choose_from<'a>(
+    request: &PlaceRequest,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let overload = request.costs.overload.0 * 1_000;
     let mut best: Option<(usize, u64)> = None;
-    let mut spill: Option<(usize, f64)> = None;
+    let mut spill: Option<(usize, f64, Candidate<'a>)> = None;
     let mut calm = false;
-    for (i, c) in candidates.iter().enumerate().filter(|(_, c)| usable(c)) {
+    for (i, c) in candidates.enumerate() {
+        if !c.owned || !c.load.healthy || c.load.leaving {
+            continue;
+        }
         // A copy that an earlier spill left elsewhere saves a load, but homes are preferred,
         // so that such copies fall out of use when the homes have room.
         if c.home || c.loaded {
-            let cost = estimate(request, c) + if c.home { 0 } else { AWAY };
-            calm |= wait(request, c) < request.costs.overload.0 * 1_000;
+            let cost = estimate(request, &c) + if c.home { 0 } else { AWAY };
+            calm |= wait(request, &c) < overload;
             let better = match best {
                 None => true,
                 Some((_, b)) if cost.abs_diff(b) < 2_000 => rng.random::<bool>(),
@@ -142,22 +154,20 @@
                 best = Some((i, cost));
             }
         } else {
-            let ratio = c.load.ratio() + if c.loaded { 0.0 } else { 0.25 };
-            if spill.is_none_or(|(_, s)| ratio < s) {
-                spill = Some((i, ratio));
+            let ratio = c.load.ratio();
+            if spill.as_ref().is_none_or(|(_, s, _)| ratio < *s) {
+                spill = Some((i, ratio, c));
             }
         }
     }
     match (best, spill) {
-        (Some((home, _)), _) if calm => Some(home),
-        (Some((home, cost)), Some((other, _))) => {
+        (Some((home, cost)), Some((other, _, c))) if !calm => {
             // Where the whole cell is overloaded, a spill would only add loads.
-            let room = wait(request, &candidates[other]) < request.costs.overload.0 * 1_000;
-            let better = room && estimate(request, &candidates[other]) < cost;
+            let better = wait(request, &c) < overload && estimate(request, &c) < cost;
             Some(if better { other } else { home })
         }
-        (Some((i, _)), None) => Some(i),
-        (None, spill) => spill.map(|(i, _)| i),
+        (Some((home, _)), _) => Some(home),
+        (None, spill) => spill.map(|(i, ..)| i),
     }
 }
 
