--- a/src/slots.rs
+++ b/src/slots.rs
@@ -5,6 +5,8 @@
 //! gone. A pinned or loading adapter is never evicted: an order that would break this
 //! returns an error and changes nothing.
 
+use std::collections::BTreeSet;
+
 use crate::error::{Error, Result};
 use crate::ids::{AdapterRef, AttemptId, Map, Set};
 use crate::time::Ms;
@@ -121,6 +123,7 @@
     used: usize,
     loading: usize,
     table: Map<AdapterRef, Slot>,
+    present: BTreeSet<AdapterRef>,
     pins: Map<AttemptId, Pin>,
     unknown: Set<AttemptId>,
     evictions: Map<AdapterRef, AdapterRef>,
@@ -134,6 +137,7 @@
             used: 0,
             loading: 0,
             table: Map::default(),
+            present: BTreeSet::new(),
             pins: Map::default(),
             unknown: Set::default(),
             evictions: Map::default(),
@@ -199,7 +203,7 @@
         let state = self.table.get(adapter).map_or(State::Absent, |s| s.state);
         if state == State::Absent && self.used < self.size {
             self.used += 1;
-            self.entry(now, adapter).set(now, State::Loaded);
+            self.turn(now, adapter, State::Loaded);
         } else if state != State::Loaded {
             self.unknown.insert(attempt);
             let reason = format!("attempt {attempt} runs on {adapter}, which is not loaded");
@@ -237,12 +241,12 @@
     /// Called for a demand that finds every slot pinned; at most `most` adapters retire at
     /// once.
     pub fn retire(&mut self, now: Ms, most: usize) {
-        let retiring = self.table.values().filter(|s| s.retiring).count();
+        let retiring = self.present().filter(|(_, s)| s.retiring).count();
         if retiring >= most || !self.unknown.is_empty() {
             return;
         }
         let old = |s: &Slot| s.state == State::Loaded && now.since(s.since) >= RESIDENCE;
-        let pinned = self.table.iter().filter(|(_, s)| old(s) && !s.retiring);
+        let pinned = self.present().filter(|(_, s)| old(s) && !s.retiring);
         let least = pinned.min_by(|a, b| self.worth(now, *a, *b)).map(|(a, _)| a.clone());
         if let Some(slot) = least.and_then(|a| self.table.get_mut(&a)) {
             slot.retiring = true;
@@ -251,7 +255,11 @@
 
     /// Takes back all retirements, because no demand is left for the slots.
     pub fn keep_all(&mut self) {
-        self.table.values_mut().for_each(|s| s.retiring = false);
+        for adapter in &self.present {
+            if let Some(slot) = self.table.get_mut(adapter) {
+                slot.retiring = false;
+            }
+        }
     }
 
     /// Marks a load order as sent.
@@ -267,7 +275,7 @@
         }
         self.used += 1;
         self.loading += 1;
-        self.entry(now, adapter).set(now, State::Loading);
+        self.turn(now, adapter, State::Loading);
         Ok(())
     }
 
@@ -286,8 +294,8 @@
         if self.entry(now, next).state != State::Absent {
             return Err(Error::state("slots", format!("slot for {next}, which is not absent")));
         }
-        self.entry(now, victim).set(now, State::Evicting);
-        self.entry(now, next).set(now, State::Reserved);
+        self.turn(now, victim, State::Evicting);
+        self.turn(now, next, State::Reserved);
         self.loading += 1;
         self.evictions.insert(victim.clone(), next.clone());
         Ok(())
@@ -307,8 +315,8 @@
             true => (State::Absent, State::Loading),
             false => (State::Loaded, State::Absent),
         };
-        self.entry(now, victim).set(now, out);
-        self.entry(now, &next).set(now, heir);
+        self.turn(now, victim, out);
+        self.turn(now, &next, heir);
         self.loading -= usize::from(!done);
         Some(if done { Ok(next) } else { Err(next) })
     }
@@ -321,7 +329,7 @@
         }
         slot.cost = Ms((slot.cost.0 * 3 + now.since(slot.since).0) / 4);
         slot.failures = 0;
-        slot.set(now, State::Loaded);
+        self.turn(now, adapter, State::Loaded);
         self.loading -= 1;
         true
     }
@@ -335,7 +343,7 @@
         let back_off = Ms(BACK_OFF.0 << slot.failures.min(10)).min(BACK_OFF_MAX);
         slot.failures += 1;
         slot.retry = now + back_off;
-        slot.set(now, State::Absent);
+        self.turn(now, adapter, State::Absent);
         self.loading -= 1;
         self.used -= 1;
         Some(now + back_off)
@@ -356,15 +364,13 @@
         let present: Set<&AdapterRef> = loaded.iter().collect();
         self.evictions.clear();
         self.loading = 0;
-        for (adapter, slot) in &mut self.table {
-            if !present.contains(adapter) {
-                slot.set(now, State::Absent);
-            }
+        let gone = self.present.iter().filter(|a| !present.contains(a));
+        for adapter in gone.cloned().collect::<Vec<_>>() {
+            self.turn(now, &adapter, State::Absent);
         }
         for adapter in &present {
-            let slot = self.entry(now, adapter);
-            if slot.state != State::Loaded {
-                slot.set(now, State::Loaded);
+            if self.entry(now, adapter).state != State::Loaded {
+                self.turn(now, adapter, State::Loaded);
             }
         }
         self.used = present.len();
@@ -392,10 +398,8 @@
 
     /// Loaded adapters, sorted.
     pub fn loaded(&self) -> Vec<AdapterRef> {
-        let loaded = self.table.iter().filter(|(_, s)| s.state == State::Loaded);
-        let mut loaded: Vec<_> = loaded.map(|(a, _)| a.clone()).collect();
-        loaded.sort_unstable();
-        loaded
+        let loaded = self.present().filter(|(_, s)| s.state == State::Loaded);
+        loaded.map(|(a, _)| a.clone()).collect()
     }
 
     /// Loads under way, with those that wait for an eviction.
@@ -424,6 +428,19 @@
         self.table.get(adapter).map_or(LOAD_TIME, |s| s.cost)
     }
 
+    /// Adapters that are not absent, sorted.
+    fn present(&self) -> impl Iterator<Item = (&AdapterRef, &Slot)> {
+        self.present.iter().filter_map(|a| self.table.get_key_value(a))
+    }
+
+    fn turn(&mut self, now: Ms, adapter: &AdapterRef, state: State) {
+        self.entry(now, adapter).set(now, state);
+        match state {
+            State::Absent => self.present.remove(adapter),
+            _ => self.present.insert(adapter.clone()),
+        };
+    }
+
     fn worth(
         &self,
         now: Ms,
