--- /dev/null
+++ b/tests/cell.rs
@@ -0,0 +1,48 @@
+//! Entry node's view of a cell.
+
+use rand::{SeedableRng, rngs::SmallRng};
+use sycamorefork::cell::{Cell, Query};
+use sycamorefork::ids::{AdapterRef, Endpoint, Team};
+use sycamorefork::place::{Costs, LoadView, candidates};
+use sycamorefork::time::Ms;
+
+// Guards against a load where a copy exists, against a second try at the same endpoint, against
+// endpoints without an owner, and against a burst that all goes to one endpoint because the
+// load views are old.
+#[test]
+fn routes_follow_copies_and_own_requests() {
+    let names: Vec<_> = (0..6).map(|e| Endpoint::new(&format!("e{e}"))).collect();
+    let members: Vec<_> = names.iter().map(|n| (n.clone(), 4, true)).collect();
+    let mut cell = Cell::new(&members, Costs::default(), 1_000.0);
+    let (team, adapter) = (Team::new("t"), AdapterRef::new("a", "1"));
+    let mut rng = SmallRng::seed_from_u64(5);
+    let query = |tried| Query {
+        team: &team,
+        adapter: Some(&adapter),
+        tokens: 500,
+        prompt: 100,
+        deadline: Ms(60_000),
+        tried,
+    };
+    assert_eq!(cell.route(Ms(0), &query(&[]), &mut rng), None, "no endpoint has an owner");
+    let empty = LoadView { healthy: true, ..LoadView::default() };
+    (0..6).for_each(|e| cell.on_view(Ms(0), e, empty.clone()));
+    let home = usize::from(candidates(&adapter, &names, 1).as_slice()[0]);
+    let copy = (home + 1) % 6;
+    cell.on_view(Ms(1), copy, LoadView { loaded: vec![adapter.clone()], ..empty.clone() });
+    assert_eq!(cell.route(Ms(1), &query(&[]), &mut rng), Some(copy));
+    cell.on_view(Ms(2), copy, empty.clone());
+    assert_eq!(cell.route(Ms(2), &query(&[]), &mut rng), Some(home), "the copy is gone");
+    let tried = [home];
+    assert_ne!(cell.route(Ms(2), &query(&tried), &mut rng), Some(home));
+    cell.set_unowned(home);
+    assert_ne!(cell.route(Ms(2), &query(&[]), &mut rng), Some(home));
+
+    (0..6).for_each(|e| cell.on_view(Ms(3), e, empty.clone()));
+    let mut counts = [0; 6];
+    for _ in 0..48 {
+        counts[cell.route(Ms(3), &query(&[]), &mut rng).unwrap()] += 1;
+    }
+    assert!(counts.iter().all(|n| *n <= 16), "{counts:?}");
+    assert_eq!(cell.view(home).running, 4);
+}
