--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod dynamo;
 pub mod engine;
 mod entry;
+pub mod cell;
 pub mod error;
 pub mod evidence;
 pub mod faulty;
