--- a/src/commands.rs
+++ b/src/commands.rs
@@ -288,7 +288,13 @@
     }
     let admin: SocketAddr = args.value_from_str("--admin")?;
     let credential = credential(&mut args, world)?;
+    let lift: Option<String> = args.opt_value_from_str("--lift")?;
     finish(args)?;
+    if let Some(fingerprint) = lift {
+        let path = format!("/quarantine/lift/{fingerprint}");
+        let state = client::call(admin, Method::POST, &path, &credential).await?;
+        return Ok(Output::ok(lines(&state), state));
+    }
     let state = client::call(admin, Method::GET, "/status", &credential).await?;
     Ok(Output::ok(lines(&state), state))
 }
--- a/src/help.rs
+++ b/src/help.rs
@@ -87,13 +87,14 @@
 ";
 
 const STATUS: &str = "\
-Usage: sycamorefork status --admin ADDRESS [--credential-file FILE]
+Usage: sycamorefork status --admin ADDRESS [--credential-file FILE] [--lift FINGERPRINT]
        sycamorefork status --history --settings FILE
 
 Prints the state of a node, or the accepted changes of the configuration.
 
   --admin ADDRESS          IP address and port of the admin listener
   --credential-file FILE   credential; default $SYCAMOREFORK_CREDENTIAL
+  --lift FINGERPRINT       ends the quarantine of a request, as the status shows it
 
 Exit codes: 0 success, 1 refused, 2 wrong use, 3 not reachable.
 ";
--- a/src/node.rs
+++ b/src/node.rs
@@ -36,6 +36,8 @@
 const NOTICE: Duration = Duration::from_secs(2);
 /// Time for which a draining node waits for its release of leases and ownership.
 const RELEASE: Duration = Duration::from_secs(3);
+/// Connections of operators at a time.
+const ADMIN_CONNECTIONS: usize = 64;
 /// Pause between two looks at a condition during a shutdown.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -99,12 +101,16 @@
     stop: impl Future<Output = ()> + Send,
 ) {
     log::info!("node {} starts", shell.me);
+    // A connection without a request is closed; no request lasts longer than this.
+    let idle = (shell.limits().request + shell.limits().slow).std();
+    let (_admin_close, admin_open) = watch::channel(false);
+    let admin = Admin::new(shell.clone());
     let mut tasks = vec![
         tokio::spawn(shell.open_links().listen(listeners.peers)),
         tokio::spawn(tick(shell.clone())),
         tokio::spawn(list(shell.clone())),
         tokio::spawn(follow_head(shell.clone())),
-        tokio::spawn(serve_http(listeners.admin, Admin::new(shell.clone()), 64, idle_stop())),
+        tokio::spawn(serve_http(listeners.admin, admin, ADMIN_CONNECTIONS, idle, admin_open)),
     ];
     let (flush, flushing) = watch::channel(false);
     let recorder = tokio::spawn(recorder::run(
@@ -115,8 +121,13 @@
     let limits = *shell.limits();
     let most = usize::try_from(limits.connections).unwrap_or(usize::MAX);
     let (close, closing) = watch::channel(false);
-    let gateway =
-        tokio::spawn(serve_http(listeners.callers, Gateway::new(shell.clone()), most, closing));
+    let gateway = tokio::spawn(serve_http(
+        listeners.callers,
+        Gateway::new(shell.clone()),
+        most,
+        idle,
+        closing,
+    ));
     let mut drain = shell.stop.subscribe();
     tokio::select! {
         () = stop => {}
@@ -131,13 +142,6 @@
     log::info!("node {} ended", shell.me);
 }
 
-fn idle_stop() -> watch::Receiver<bool> {
-    let (tx, rx) = watch::channel(false);
-    // The admin listener ends with its task.
-    std::mem::forget(tx);
-    rx
-}
-
 /// Ends a node without cutting a request.
 async fn shutdown<P: Ports>(
     shell: &Arc<Shell<P>>,
@@ -214,6 +218,7 @@
     listener: TcpListener,
     app: E,
     connections: usize,
+    idle: Duration,
     mut closing: watch::Receiver<bool>,
 ) where
     E: poem::Endpoint<Output = poem::Response> + 'static,
@@ -225,7 +230,7 @@
     let stop = async move {
         let _ = closing.wait_for(|closing| *closing).await;
     };
-    let server = poem::Server::new_with_acceptor(acceptor);
+    let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(idle);
     if let Err(e) = server.run_with_graceful_shutdown(app, stop, None).await {
         log::error!("HTTP server ended: {e}");
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -105,6 +105,7 @@
         burst: a.burst,
         permits: a.permits,
         returns: a.returns,
+        least: a.least,
     }
 }
 
@@ -119,6 +120,7 @@
         burst: a.burst,
         permits: a.permits,
         returns: a.returns,
+        least: a.least,
     }
 }
 
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -1,8 +1,8 @@
 //! Lease, promises, takeover and ownership against a fake table.
 
-mod cell;
+mod authority_fakes;
 
-use cell::{Cell, Claim, endpoint};
+use authority_fakes::{Cell, Claim, endpoint};
 use sycamorefork::lease::Level;
 use sycamorefork::owner::{Order, Resource};
 
