Route by the cell's index of adapter copies

The entry node's route scanned and allocated a list of candidates per request and did not count its own requests since the last load view. It now uses the cell table of the scheduling modules, which holds both. A guard ends the count of a waiting request on every path, also when a claim replays an earlier answer.

--- a/src/beat.rs
+++ b/src/beat.rs
@@ -88,12 +88,7 @@
     pub(crate) fn refresh_own(&mut self, now: Ms) {
         let Self { owned, fleet, me, .. } = self;
         for (name, o) in owned.iter().filter(|(_, o)| o.ready()) {
-            if let Some(row) = fleet.endpoint_mut(name) {
-                row.view = o.sched.load_view(now);
-                row.owner = Some(me.clone());
-                row.fence = o.fence;
-                row.seen = now;
-            }
+            fleet.set_view(now, name, me, o.fence, |view| *view = o.sched.load_view(now));
         }
     }
 
@@ -150,19 +145,21 @@
 
     fn on_load(&mut self, now: Ms, from: &Node, load: &peer::EndpointLoad) {
         let name = Endpoint::new(&load.endpoint);
-        let Some(row) = self.fleet.endpoint_mut(&name) else { return };
+        let Some(row) = self.fleet.endpoint(&name) else { return };
         // A former owner may still beat; the higher fence is the present owner.
         if load.fence < row.fence {
             return;
         }
-        if load.fence > row.fence || row.owner.as_ref() != Some(from) {
-            row.fence = load.fence;
-            row.owner = Some(from.clone());
-            row.view.loaded.clear();
-            self.owner_since.insert(name, (load.fence, now));
+        let changed = load.fence > row.fence || row.owner.as_ref() != Some(from);
+        if changed {
+            self.owner_since.insert(name.clone(), (load.fence, now));
         }
-        wire::update_view(&mut row.view, load);
-        row.seen = now;
+        self.fleet.set_view(now, &name, from, load.fence, |view| {
+            if changed {
+                view.loaded.clear();
+            }
+            wire::update_view(view, load);
+        });
     }
 
     fn on_suspicions(&mut self, now: Ms, beat: &peer::Heartbeat, out: &mut Vec<Out>) {
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -16,9 +16,9 @@
 use crate::denial::{Denial, Reason};
 use crate::engine::StartError;
 use crate::entry::Demand;
-use crate::ids::{AttemptId, Endpoint, Node, RequestId, Team};
+use crate::ids::{AttemptId, Endpoint, RequestId, Team};
 use crate::keyed::{ClaimEvent, Keyed};
-use crate::permit::{BACKOFF, BACKOFF_MAX, Permit};
+use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Routed};
 use crate::quarantine;
 use crate::serve::{ATTEMPTS_MAX, Answer, Caller};
 use crate::service::{Service, ServiceCall as WireCall, ServiceReply};
@@ -117,7 +117,6 @@
 struct Failed {
     denial: Denial,
     state: AttemptState,
-    attempt: AttemptId,
 }
 
 impl<P: Ports> ServiceRun<P> {
@@ -138,9 +137,9 @@
 
     async fn tries(&mut self) -> Result<ServiceReply, Denial> {
         for n in 0.. {
-            let (endpoint, owner) = self.shell.route(&self.demand, &mut self.excluded).await?;
             let attempt = AttemptId(rand::random());
-            let failed = match self.attempt(attempt, &endpoint, &owner).await {
+            let routed = self.shell.route(attempt, &self.demand, &mut self.excluded).await?;
+            let failed = match self.attempt(&routed).await {
                 Ok(reply) => return Ok(reply),
                 Err(failed) => failed,
             };
@@ -170,13 +169,13 @@
     /// Claims the key, then runs the call.
     async fn keyed(&mut self, key: &str) -> Result<Answer, Denial> {
         for n in 0.. {
-            let (endpoint, owner) = self.shell.route(&self.demand, &mut self.excluded).await?;
             let attempt = AttemptId(rand::random());
+            let routed = self.shell.route(attempt, &self.demand, &mut self.excluded).await?;
             let claim = ClaimCall {
                 key: row_key(&self.call.route.name, &self.call.team, key),
                 digest: body_digest(&self.call.body),
                 attempt,
-                endpoint: endpoint.clone(),
+                endpoint: routed.endpoint.clone(),
                 deadline: self.demand.deadline,
                 created: wall_clock(),
             };
@@ -194,7 +193,7 @@
             if !matches!(event, ClaimEvent::Proceed) {
                 return decided(event);
             }
-            let failed = match self.attempt(attempt, &endpoint, &owner).await {
+            let failed = match self.attempt(&routed).await {
                 Ok(reply) => {
                     self.shell.finish_claim(ticket, Outcome::Answer(stored(&reply)));
                     return Ok(whole(reply));
@@ -207,7 +206,7 @@
                 continue;
             }
             // The answer was lost; the service may know it.
-            if let Some(reply) = self.resolve(&endpoint, failed.attempt).await {
+            if let Some(reply) = self.resolve(&routed.endpoint, attempt).await {
                 self.shell.finish_claim(ticket, Outcome::Answer(stored(&reply)));
                 return Ok(whole(reply));
             }
@@ -235,16 +234,12 @@
         None
     }
 
-    async fn attempt(
-        &mut self,
-        attempt: AttemptId,
-        endpoint: &Endpoint,
-        owner: &Node,
-    ) -> Result<ServiceReply, Failed> {
-        let permit = self.shell.permit(&self.demand, attempt, endpoint, owner).await;
+    async fn attempt(&mut self, routed: &Routed<P>) -> Result<ServiceReply, Failed> {
+        let (attempt, endpoint) = (routed.attempt, &routed.endpoint);
+        let permit = self.shell.permit(&self.demand, routed).await;
         let mut permit = permit.map_err(|refusal| {
             self.excluded.push(endpoint.clone());
-            Failed { denial: refusal.denial(), state: AttemptState::Unsent, attempt }
+            Failed { denial: refusal.denial(), state: AttemptState::Unsent }
         })?;
         let wire = WireCall {
             attempt,
@@ -276,11 +271,7 @@
                 self.excluded.push(endpoint.clone());
                 let message = format!("the service refused the call with status {status}");
                 let denial = Denial::new(Reason::EndpointRefused, message);
-                Err(Failed {
-                    denial: denial.retry_after(Ms::secs(1)),
-                    state: permit.state,
-                    attempt,
-                })
+                Err(Failed { denial: denial.retry_after(Ms::secs(1)), state: permit.state })
             }
             Err(StartError::Unknown(e)) => {
                 permit.step(Step::Lose);
@@ -288,7 +279,7 @@
                 log::warn!("request {} attempt {attempt} on {endpoint} failed: {e}", self.call.id);
                 let message = "the service failed while the call may have been running";
                 let denial = Denial::unknown(Reason::EndpointFailed, message);
-                Err(Failed { denial, state: permit.state, attempt })
+                Err(Failed { denial, state: permit.state })
             }
         }
     }
@@ -297,7 +288,7 @@
         self.excluded.push(permit.endpoint.clone());
         let denial = Denial::new(Reason::NoEndpoint, format!("the service was not reached: {why}"));
         let state = AttemptState::Unsent;
-        Failed { denial: denial.retry_after(Ms::secs(1)), state, attempt: permit.attempt }
+        Failed { denial: denial.retry_after(Ms::secs(1)), state }
     }
 }
 
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -192,10 +192,12 @@
 
     async fn attempt(&mut self) -> Result<Started<P>, Failed> {
         self.shell.check_fingerprint(self.call.demand.fingerprint).map_err(Failed::Final)?;
-        let (endpoint, owner) =
-            self.shell.route(&self.call.demand, &mut self.excluded).await.map_err(Failed::Final)?;
         let attempt = AttemptId(rand::random());
-        let permit = self.shell.permit(&self.call.demand, attempt, &endpoint, &owner).await;
+        let demand = &self.call.demand;
+        let routed = self.shell.route(attempt, demand, &mut self.excluded).await;
+        let routed = routed.map_err(Failed::Final)?;
+        let permit = self.shell.permit(demand, &routed).await;
+        let endpoint = routed.endpoint.clone();
         let mut permit = permit.map_err(|refusal| {
             self.excluded.push(endpoint.clone());
             match refusal.passing() {
--- a/src/core.rs
+++ b/src/core.rs
@@ -22,7 +22,6 @@
 use crate::lease::{LeaseSettings, Level};
 use crate::owned::Owned;
 use crate::owner::{AuthorityOut, Order, Resource, View};
-use crate::place::Popularity;
 use crate::platform::Vm;
 use crate::quarantine::Quarantine;
 use crate::quota::{Peers, Quota, RateSpec, Reservation, SEATS};
@@ -38,12 +37,10 @@
 pub(crate) const BEAT: Ms = Ms(500);
 /// Interval between state queries of an owned endpoint.
 const POLL: Ms = Ms(500);
+/// Heartbeats between two sweeps of the adapters that have fallen idle.
+const FORGET_EVERY: u64 = 120;
 /// Interval between forecasts of the quota.
 const PLAN: Ms = Ms(100);
-/// Time over which the popularity of an adapter decays.
-const POPULARITY_LIFE: Ms = Ms::secs(60);
-/// Requests a second for which an adapter gets one more replica.
-const POPULARITY_HOT: f64 = 4.0;
 
 /// What the shell must perform.
 #[derive(Debug)]
@@ -87,8 +84,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) owned: BTreeMap<Endpoint, Owned>,
     pub(crate) held: BTreeMap<AttemptId, HeldPermit>,
-    pub(crate) asked: Asked,
-    pub(crate) popularity: Popularity,
+    pub(crate) asked: BTreeMap<AttemptId, Asked>,
     pub(crate) rng: SmallRng,
     pub(crate) draining: bool,
     pub(crate) load_permits: Vec<Reservation>,
@@ -118,8 +114,7 @@
             fleet: Fleet::default(),
             owned: BTreeMap::new(),
             held: BTreeMap::new(),
-            asked: Asked::default(),
-            popularity: Popularity::new(POPULARITY_LIFE, POPULARITY_HOT),
+            asked: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
             draining: false,
             load_permits: Vec::new(),
@@ -204,6 +199,10 @@
         self.refresh_own(now);
         if now >= self.next_beat {
             self.next_beat = now + BEAT;
+            self.fleet.expire_views(now);
+            if self.beats.is_multiple_of(FORGET_EVERY) {
+                self.fleet.forget_idle(now);
+            }
             self.beat(now, out);
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,12 +1,14 @@
 //! The entry node's decisions: admission, choice of endpoint, permits held.
 
+use std::sync::Arc;
+
+use crate::cell::Query;
 use crate::core::{Core, Out};
 use crate::denial::{Denial, Reason};
-use crate::fleet::{EndpointRow, Pool, vm_name};
+use crate::fleet::vm_name;
 use crate::generated::peer::{self, frame::Body};
 use crate::grant::Outcome;
-use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Node, RequestId, Team};
-use crate::place::{self, Candidate, Costs, PlaceRequest};
+use crate::ids::{AdapterRef, AttemptId, Endpoint, Node, RequestId, Team};
 use crate::quota::{self, Reservation, Take};
 use crate::time::Ms;
 use crate::wire;
@@ -20,30 +22,12 @@
     pub(crate) adapter: Option<AdapterRef>,
 }
 
-/// Requests of this entry node that wait for a permit, counted by endpoint and team.
-#[derive(Debug, Default)]
+/// A request of this entry node that waits for a permit.
+#[derive(Clone, Debug)]
 pub(crate) struct Asked {
-    attempts: Map<AttemptId, (Endpoint, Team)>,
-    counts: Map<Endpoint, Map<Team, u32>>,
-}
-
-impl Asked {
-    fn add(&mut self, attempt: AttemptId, endpoint: &Endpoint, team: &Team) {
-        self.attempts.insert(attempt, (endpoint.clone(), team.clone()));
-        *self.counts.entry(endpoint.clone()).or_default().entry(team.clone()).or_default() += 1;
-    }
-
-    /// Forgets an attempt that has its reply or was withdrawn.
-    pub(crate) fn remove(&mut self, attempt: AttemptId) {
-        let Some((endpoint, team)) = self.attempts.remove(&attempt) else { return };
-        if let Some(n) = self.counts.get_mut(&endpoint).and_then(|c| c.get_mut(&team)) {
-            *n = n.saturating_sub(1);
-        }
-    }
-
-    fn count(&self, endpoint: &Endpoint, team: &Team) -> u32 {
-        self.counts.get(endpoint).and_then(|c| c.get(team)).copied().unwrap_or(0)
-    }
+    pool: Arc<str>,
+    position: usize,
+    team: Team,
 }
 
 /// What a request needs of an endpoint.
@@ -54,7 +38,7 @@
     /// Team whose rate it uses.
     pub(crate) team: Team,
     /// Pool that serves it.
-    pub(crate) pool: std::sync::Arc<str>,
+    pub(crate) pool: Arc<str>,
     /// Adapter and version.
     pub(crate) adapter: Option<AdapterRef>,
     /// Priority class.
@@ -69,6 +53,15 @@
     pub(crate) deadline: Ms,
 }
 
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    /// The endpoint.
+    pub(crate) endpoint: Endpoint,
+    /// Its owner.
+    pub(crate) owner: Node,
+}
+
 /// Result of an attempt to admit a request.
 #[derive(Debug)]
 pub(crate) enum Admission {
@@ -142,44 +135,46 @@
     pub(crate) fn route(
         &mut self,
         now: Ms,
+        attempt: AttemptId,
         demand: &Demand,
         excluded: &[Endpoint],
-    ) -> Result<(Endpoint, Node), Denial> {
-        if let Some(adapter) = &demand.adapter {
-            self.popularity.on_request(now, adapter);
-        }
-        let Self { fleet, popularity, rng, settings, asked, .. } = self;
+    ) -> Result<Chosen, Denial> {
+        let Self { fleet, rng, .. } = self;
         let none = |seen: usize| {
             let message = format!("no endpoint of pool {:?} can take the request", demand.pool);
             Denial::new(Reason::NoEndpoint, message)
                 .retry_after(Ms::secs(1))
                 .fact("candidates", seen)
         };
-        let Some(pool) = fleet.pool(&demand.pool) else { return Err(none(0)) };
-        let homes = homes(pool, demand.adapter.as_ref(), now, popularity);
-        let candidates: Vec<Candidate<'_>> = pool
-            .members
-            .iter()
-            .enumerate()
-            .filter_map(|(at, i)| {
-                let row = &fleet.endpoints()[*i];
-                let usable = !excluded.contains(&row.name) && row.live_owner(now).is_some();
-                let home = demand.adapter.is_none() || homes.contains(&(at as u16));
-                let own = asked.count(&row.name, &demand.team);
-                usable.then(|| candidate(now, row, demand, home, own, &settings.domain))
-            })
-            .collect();
-        let request = PlaceRequest {
+        let Some(pool) = fleet.pool_mut(&demand.pool) else { return Err(none(0)) };
+        let tried: Vec<usize> =
+            excluded.iter().filter_map(|e| pool.members.binary_search(e).ok()).collect();
+        let query = Query {
+            team: &demand.team,
+            adapter: demand.adapter.as_ref(),
             tokens: demand.tokens,
             prompt: 0,
             deadline: demand.deadline,
-            costs: Costs::default(),
+            tried: &tried,
         };
-        let chosen =
-            place::choose(now, &request, &candidates, rng).ok_or_else(|| none(candidates.len()))?;
-        let name = candidates[chosen].endpoint.clone();
-        let owner = fleet.endpoint(&name).and_then(|e| e.owner.clone());
-        Ok((name, owner.ok_or_else(|| none(candidates.len()))?))
+        let seen = pool.members.len() - tried.len();
+        let position = pool.cell.route(now, &query, rng).ok_or_else(|| none(seen))?;
+        let endpoint = pool.members[position].clone();
+        let owner = fleet.endpoint(&endpoint).and_then(|e| e.owner.clone());
+        let owner = owner.ok_or_else(|| none(seen))?;
+        let (pool, team) = (demand.pool.clone(), demand.team.clone());
+        self.asked.insert(attempt, Asked { pool, position, team });
+        Ok(Chosen { endpoint, owner })
+    }
+
+    /// Ends the count of a request that waited for a permit.
+    pub(crate) fn answered(&mut self, attempt: AttemptId) {
+        let Some(asked) = self.asked.remove(&attempt) else { return };
+        if let Some(pool) = self.fleet.pool_mut(&asked.pool)
+            && asked.position < pool.members.len()
+        {
+            pool.cell.on_reply(asked.position, &asked.team);
+        }
     }
 
     /// Asks the owner for a permit.
@@ -209,7 +204,6 @@
             fingerprint: demand.fingerprint,
             repeatable: demand.repeatable,
         };
-        self.asked.add(attempt, endpoint, &demand.team);
         if *owner == self.me {
             let me = self.me.clone();
             self.on_permit_request(now, &me, &req, out);
@@ -220,7 +214,7 @@
 
     /// Notes a permit in use, so that a new owner can be told of it.
     pub(crate) fn hold(&mut self, attempt: AttemptId, permit: HeldPermit) {
-        self.asked.remove(attempt);
+        self.answered(attempt);
         self.held.insert(attempt, permit);
     }
 
@@ -232,7 +226,7 @@
         owner: &Node,
         out: &mut Vec<Out>,
     ) {
-        self.asked.remove(attempt);
+        self.answered(attempt);
         let cancel = peer::PermitCancel { attempt: wire::attempt_bytes(attempt) };
         match *owner == self.me {
             true => self.on_permit_cancel(now, &cancel),
@@ -265,36 +259,3 @@
         }
     }
 }
-
-/// Positions of the adapter's rendezvous choices in its pool.
-fn homes(
-    pool: &Pool,
-    adapter: Option<&AdapterRef>,
-    now: Ms,
-    popularity: &place::Popularity,
-) -> Vec<u16> {
-    let Some(adapter) = adapter else { return Vec::new() };
-    let replicas = popularity.replicas(now, adapter);
-    pool.ring.candidates(adapter, replicas).as_slice().to_vec()
-}
-
-fn candidate<'a>(
-    now: Ms,
-    row: &'a EndpointRow,
-    demand: &Demand,
-    home: bool,
-    own: u32,
-    domain: &str,
-) -> Candidate<'a> {
-    Candidate {
-        endpoint: &row.name,
-        load: &row.view,
-        age: now.since(row.seen),
-        loaded: demand.adapter.as_ref().is_none_or(|a| row.view.has(a)),
-        same_domain: *row.domain == *domain,
-        owned: true,
-        home,
-        prefix: 0,
-        own,
-    }
-}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,10 +7,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::cell::Cell;
 use crate::ids::{Endpoint, Map, Node};
 use crate::lease::Level;
 use crate::owner::{PeerView, Resource};
-use crate::place::{LoadView, Ring};
+use crate::place::{Costs, LoadView};
 use crate::platform::Vm;
 use crate::settings::{Role, Settings};
 use crate::time::Ms;
@@ -20,6 +21,9 @@
 /// Ten heartbeats: shorter than a takeover, longer than a pause of the owner.
 const VIEW_LIFE: Ms = Ms::secs(5);
 
+/// Requests a second at this node for which an adapter gets one more replica.
+const HOT: f64 = 4.0;
+
 /// One endpoint of the cell.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointRow {
@@ -85,12 +89,12 @@
 }
 
 /// Endpoints of one pool.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
-    /// Positions in the table of endpoints.
-    pub(crate) members: Vec<usize>,
-    /// Rendezvous hashes in the order of `members`.
-    pub(crate) ring: Ring,
+    /// Names in the order of the cell's positions.
+    pub(crate) members: Vec<Endpoint>,
+    /// Load views and adapter copies, for routing.
+    pub(crate) cell: Cell,
 }
 
 /// Tables of endpoints and peers.
@@ -121,10 +125,73 @@
         }
         self.endpoints = rows.into_values().collect();
         self.index = self.endpoints.iter().enumerate().map(|(i, e)| (e.name.clone(), i)).collect();
-        self.pools = pools(&self.endpoints);
+        self.rebuild_pools(&settings.domain);
         self.set_peers(me, vms);
     }
 
+    /// Rebuilds the pools whose members changed; the others keep what they learned.
+    fn rebuild_pools(&mut self, domain: &str) {
+        let mut members: BTreeMap<Arc<str>, Vec<Endpoint>> = BTreeMap::new();
+        for e in &self.endpoints {
+            members.entry(e.pool.clone()).or_default().push(e.name.clone());
+        }
+        self.pools.retain(|name, pool| members.get(name) == Some(&pool.members));
+        for (name, members) in members {
+            if !self.pools.contains_key(&name) {
+                let rows = members.iter().filter_map(|m| self.endpoint(m));
+                let list: Vec<_> =
+                    rows.map(|e| (e.name.clone(), e.batch, *e.domain == *domain)).collect();
+                let cell = Cell::new(&list, Costs::default(), HOT);
+                self.pools.insert(name, Pool { members, cell });
+            }
+        }
+        for e in 0..self.endpoints.len() {
+            self.publish(e);
+        }
+    }
+
+    /// Hands the present view of an endpoint to its pool.
+    fn publish(&mut self, index: usize) {
+        let row = &self.endpoints[index];
+        let Some(pool) = self.pools.get_mut(&row.pool) else { return };
+        let Ok(at) = pool.members.binary_search(&row.name) else { return };
+        if row.owner.is_some() {
+            let mut view = row.view.clone();
+            view.leaving |= row.leaving;
+            pool.cell.on_view(row.seen, at, view);
+        }
+    }
+
+    /// Adopts an owner's statement on its endpoint.
+    pub(crate) fn set_view(
+        &mut self,
+        now: Ms,
+        name: &Endpoint,
+        owner: &Node,
+        fence: u64,
+        change: impl FnOnce(&mut LoadView),
+    ) {
+        let Some(index) = self.index.get(name).copied() else { return };
+        let row = &mut self.endpoints[index];
+        row.owner = Some(owner.clone());
+        row.fence = fence;
+        row.seen = now;
+        change(&mut row.view);
+        self.publish(index);
+    }
+
+    /// Takes endpoints whose owner is silent out of the choice.
+    pub(crate) fn expire_views(&mut self, now: Ms) {
+        for row in &self.endpoints {
+            if row.live_owner(now).is_none()
+                && let Some(pool) = self.pools.get_mut(&row.pool)
+                && let Ok(at) = pool.members.binary_search(&row.name)
+            {
+                pool.cell.set_unowned(at);
+            }
+        }
+    }
+
     fn insert_row(
         &self,
         rows: &mut BTreeMap<Endpoint, EndpointRow>,
@@ -172,6 +239,13 @@
         }
     }
 
+    /// Forgets the request rates of adapters that have fallen idle.
+    pub(crate) fn forget_idle(&mut self, now: Ms) {
+        for pool in self.pools.values_mut() {
+            pool.cell.forget(now);
+        }
+    }
+
     /// All endpoints by name.
     pub(crate) fn endpoints(&self) -> &[EndpointRow] {
         &self.endpoints
@@ -182,14 +256,9 @@
         self.index.get(name).map(|i| &self.endpoints[*i])
     }
 
-    /// The endpoint with this name.
-    pub(crate) fn endpoint_mut(&mut self, name: &Endpoint) -> Option<&mut EndpointRow> {
-        self.index.get(name).map(|i| &mut self.endpoints[*i])
-    }
-
     /// The pool with this name.
-    pub(crate) fn pool(&self, name: &str) -> Option<&Pool> {
-        self.pools.get(name)
+    pub(crate) fn pool_mut(&mut self, name: &str) -> Option<&mut Pool> {
+        self.pools.get_mut(name)
     }
 
     /// Other nodes by the name of their VM.
@@ -224,16 +293,3 @@
         self.peers.values().filter_map(view).collect()
     }
 }
-
-fn pools(endpoints: &[EndpointRow]) -> BTreeMap<Arc<str>, Pool> {
-    let mut pools: BTreeMap<Arc<str>, Pool> = BTreeMap::new();
-    for (i, e) in endpoints.iter().enumerate() {
-        pools.entry(e.pool.clone()).or_default().members.push(i);
-    }
-    for pool in pools.values_mut() {
-        let names: Vec<Endpoint> =
-            pool.members.iter().map(|i| endpoints[*i].name.clone()).collect();
-        pool.ring = Ring::new(&names);
-    }
-    pools
-}
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -9,7 +9,7 @@
 
 use crate::attempt::{AttemptState, Backoff, Step, may_retry};
 use crate::denial::{Denial, Reason};
-use crate::entry::{Admission, Demand, HeldPermit};
+use crate::entry::{Admission, Chosen, Demand, HeldPermit};
 use crate::grant::Outcome;
 use crate::ids::{AttemptId, Endpoint, Node, Team};
 use crate::quota::Reservation;
@@ -97,6 +97,22 @@
     }
 }
 
+/// The endpoint that an attempt goes to; counts as waiting there until it is dropped.
+pub(crate) struct Routed<P: Ports> {
+    shell: Arc<Shell<P>>,
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
+    /// The endpoint.
+    pub(crate) endpoint: Endpoint,
+    owner: Node,
+}
+
+impl<P: Ports> Drop for Routed<P> {
+    fn drop(&mut self) {
+        self.shell.with_core(|core, _, _| core.answered(self.attempt));
+    }
+}
+
 /// Withdraws a request for a permit that is no longer wanted.
 struct Waiting<'a, P: Ports> {
     shell: &'a Arc<Shell<P>>,
@@ -162,13 +178,17 @@
     /// Chooses an endpoint, waiting through a takeover.
     pub(crate) async fn route(
         self: &Arc<Self>,
+        attempt: AttemptId,
         demand: &Demand,
         excluded: &mut Vec<Endpoint>,
-    ) -> Result<(Endpoint, Node), Denial> {
+    ) -> Result<Routed<P>, Denial> {
         let patience = demand.deadline.min(self.now() + TAKEOVER);
         loop {
-            match self.with_core(|core, now, _| core.route(now, demand, excluded)) {
-                Ok(found) => return Ok(found),
+            match self.with_core(|core, now, _| core.route(now, attempt, demand, excluded)) {
+                Ok(chosen) => {
+                    let Chosen { endpoint, owner } = chosen;
+                    return Ok(Routed { shell: self.clone(), attempt, endpoint, owner });
+                }
                 Err(denial) if self.now() >= patience => return Err(denial),
                 // Every endpoint has failed once; all may be tried again.
                 Err(_) => excluded.clear(),
@@ -181,10 +201,10 @@
     pub(crate) async fn permit(
         self: &Arc<Self>,
         demand: &Demand,
-        attempt: AttemptId,
-        endpoint: &Endpoint,
-        owner: &Node,
+        routed: &Routed<P>,
     ) -> Result<Permit<P>, Refusal> {
+        let Routed { attempt, endpoint, owner, .. } = routed;
+        let attempt = *attempt;
         let sent = self.now();
         let rx = self.wait_permit(attempt);
         let mut waiting = Waiting { shell: self, attempt, owner: owner.clone(), answered: false };
@@ -202,7 +222,7 @@
         };
         waiting.answered = true;
         if !reply.granted {
-            self.with_core(|core, _, _| core.asked.remove(attempt));
+            self.with_core(|core, _, _| core.answered(attempt));
             return Err(Refusal { reason: reply.reason, after: Ms(reply.retry_after) });
         }
         // Counted from before the request left, so that delays of the network
