--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -67,6 +67,16 @@
 }
 
 /// Suspects and quarantine entries that this node knows.
+///
+/// ```
+/// use sycamorefork::{quarantine::Quarantine, time::Ms};
+/// let mut quarantine = Quarantine::default();
+/// quarantine.on_crash(Ms(0), &[1, 2]);
+/// quarantine.on_end(2);
+/// quarantine.on_crash(Ms(100), &[1]);
+/// assert!(quarantine.is_quarantined(Ms(100), 1).is_some());
+/// assert!(quarantine.is_quarantined(Ms(100), 2).is_none());
+/// ```
 #[derive(Debug)]
 pub struct Quarantine {
     expiry: Ms,
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -3,6 +3,9 @@
 //! Every submitted job ends in exactly one grant, refusal or cancellation. Jobs whose
 //! adapter is loaded go ahead while others load. A demand that finds every slot pinned
 //! retires the least valuable adapter, so that it gets a slot within a bounded time.
+//!
+//! The shell reports the end of each load and eviction order exactly once, or calls
+//! [`Sched::on_restart`] when it cannot know the end.
 
 use std::collections::BTreeMap;
 
