State truly whether a request ran after a lost first attempt

Cause: the last attempt alone decided what the caller was told. When the first attempt was lost on a crashed engine and no endpoint was left, the answer said ran "no" although the engine had run it. Retries of both kinds of requests now follow one policy, which remembers that an attempt may have run. Refusals during a change of owner are bounded by time and not by their number, because four of them pass within 150 ms and a takeover takes seconds.

--- a/src/calls.rs
+++ b/src/calls.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use tokio::time::sleep;
 
-use crate::attempt::{AttemptState, Backoff, Step};
+use crate::attempt::Step;
 use crate::claim::{Answer as StoredAnswer, Call as ClaimCall, Outcome, body_digest, row_key};
 use crate::config::RouteSpec;
 use crate::denial::{Denial, Reason};
@@ -18,9 +18,10 @@
 use crate::entry::Demand;
 use crate::ids::{AttemptId, Endpoint, RequestId, Team};
 use crate::keyed::{ClaimEvent, Keyed};
-use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Routed};
+use crate::permit::{Permit, Routed};
 use crate::quarantine;
-use crate::serve::{ATTEMPTS_MAX, Answer, Caller};
+use crate::retry::{Failed, Retry};
+use crate::serve::{Answer, Caller};
 use crate::service::{Service, ServiceCall as WireCall, ServiceReply};
 use crate::shell::{Measured, Ports, Shell};
 use crate::time::{Ms, wall_clock};
@@ -82,7 +83,7 @@
         call,
         demand,
         excluded: Vec::new(),
-        backoff: Backoff::new(BACKOFF, BACKOFF_MAX),
+        retry: Retry::new(begun, deadline, route.idempotent),
     };
     shell.retries.lock().unwrap().on_first(begun);
     let answer = if route.idempotent {
@@ -110,13 +111,7 @@
     call: ServiceCall,
     demand: Demand,
     excluded: Vec<Endpoint>,
-    backoff: Backoff,
-}
-
-/// How an attempt failed.
-struct Failed {
-    denial: Denial,
-    state: AttemptState,
+    retry: Retry,
 }
 
 impl<P: Ports> ServiceRun<P> {
@@ -136,39 +131,20 @@
     }
 
     async fn tries(&mut self) -> Result<ServiceReply, Denial> {
-        for n in 0.. {
+        loop {
             let attempt = AttemptId(rand::random());
-            let routed = self.shell.route(attempt, &self.demand, &mut self.excluded).await?;
-            let failed = match self.attempt(&routed).await {
+            let routed = self.shell.route(attempt, &self.demand, &mut self.excluded).await;
+            let routed = routed.map_err(|d| self.retry.deny(d))?;
+            match self.attempt(&routed).await {
                 Ok(reply) => return Ok(reply),
-                Err(failed) => failed,
-            };
-            self.pause_or_stop(n, failed).await?;
-        }
-        unreachable!("the loop returns")
-    }
-
-    /// Waits before the next attempt, or returns the denial of the last one.
-    async fn pause_or_stop(&mut self, n: usize, failed: Failed) -> Result<(), Denial> {
-        let repeatable = self.demand.repeatable;
-        let deadline = self.demand.deadline;
-        let again = n + 1 < ATTEMPTS_MAX
-            && match failed.state {
-                AttemptState::Unsent => self.shell.now() < deadline,
-                state => self.shell.may_retry(&state, repeatable, deadline),
-            };
-        if !again {
-            return Err(failed.denial);
+                Err(failed) => self.retry.again(&self.shell, failed).await?,
+            }
         }
-        self.shell.metrics.retries(1, failed.denial.reason.code());
-        let pause = self.shell.pause(&mut self.backoff);
-        sleep(pause.std()).await;
-        Ok(())
     }
 
     /// Claims the key, then runs the call.
     async fn keyed(&mut self, key: &str) -> Result<Answer, Denial> {
-        for n in 0.. {
+        loop {
             let attempt = AttemptId(rand::random());
             let routed = self.shell.route(attempt, &self.demand, &mut self.excluded).await?;
             let claim = ClaimCall {
@@ -202,7 +178,7 @@
             };
             if !failed.denial.ran {
                 self.shell.finish_claim(ticket, Outcome::NotRun);
-                self.pause_or_stop(n, failed).await?;
+                self.retry.again(&self.shell, failed).await?;
                 continue;
             }
             // The answer was lost; the service may know it.
@@ -213,7 +189,6 @@
             self.shell.finish_claim(ticket, Outcome::Unknown);
             return Err(failed.denial);
         }
-        unreachable!("the loop returns")
     }
 
     /// Looks a lost answer up at the service that was called.
@@ -239,7 +214,7 @@
         let permit = self.shell.permit(&self.demand, routed).await;
         let mut permit = permit.map_err(|refusal| {
             self.excluded.push(endpoint.clone());
-            Failed { denial: refusal.denial(), state: AttemptState::Unsent }
+            refusal.failed()
         })?;
         let wire = WireCall {
             attempt,
@@ -271,7 +246,8 @@
                 self.excluded.push(endpoint.clone());
                 let message = format!("the service refused the call with status {status}");
                 let denial = Denial::new(Reason::EndpointRefused, message);
-                Err(Failed { denial: denial.retry_after(Ms::secs(1)), state: permit.state })
+                let denial = denial.retry_after(Ms::secs(1));
+                Err(Failed { denial, state: permit.state, unsettled: false })
             }
             Err(StartError::Unknown(e)) => {
                 permit.step(Step::Lose);
@@ -279,7 +255,7 @@
                 log::warn!("request {} attempt {attempt} on {endpoint} failed: {e}", self.call.id);
                 let message = "the service failed while the call may have been running";
                 let denial = Denial::unknown(Reason::EndpointFailed, message);
-                Err(Failed { denial, state: permit.state })
+                Err(Failed { denial, state: permit.state, unsettled: false })
             }
         }
     }
@@ -287,8 +263,7 @@
     fn unsent(&mut self, permit: Permit<P>, why: &str) -> Failed {
         self.excluded.push(permit.endpoint.clone());
         let denial = Denial::new(Reason::NoEndpoint, format!("the service was not reached: {why}"));
-        let state = AttemptState::Unsent;
-        Failed { denial: denial.retry_after(Ms::secs(1)), state }
+        Failed::unsent(denial.retry_after(Ms::secs(1)))
     }
 }
 
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -9,9 +9,8 @@
 use futures_util::StreamExt;
 use http::StatusCode;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
 
-use crate::attempt::{AttemptState, Backoff, Step};
+use crate::attempt::Step;
 use crate::config::{Config, ModelTarget, RouteSpec, Serves};
 use crate::denial::{Denial, Reason};
 use crate::engine::{Call, Engine, Frame, Reply, StartError, Usage};
@@ -19,9 +18,10 @@
 use crate::gateway::error_event;
 use crate::ids::{AttemptId, Endpoint, RequestId, Team};
 use crate::openai::{ChunkView, Completion};
-use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Stock};
+use crate::permit::{Permit, Stock};
 use crate::quarantine;
-use crate::serve::{ATTEMPTS_MAX, Answer, Caller, passed};
+use crate::retry::{Failed, Retry};
+use crate::serve::{Answer, Caller, passed};
 use crate::shell::{Measured, Ports, Shell};
 use crate::time::Ms;
 
@@ -107,7 +107,7 @@
         call,
         stock,
         excluded: Vec::new(),
-        backoff: Backoff::new(BACKOFF, BACKOFF_MAX),
+        retry: Retry::new(begun, deadline, true),
         begun,
         first: None,
         sent: 0,
@@ -140,7 +140,7 @@
     call: CompletionCall,
     stock: Stock<P>,
     excluded: Vec<Endpoint>,
-    backoff: Backoff,
+    retry: Retry,
     begun: Ms,
     first: Option<Ms>,
     sent: u64,
@@ -154,10 +154,10 @@
     first: Option<Frame>,
 }
 
-/// How an attempt failed before its first frame.
-enum Failed {
+/// How an attempt ended before its first frame.
+enum Ended {
     /// Another attempt may help.
-    Again(Denial, AttemptState),
+    Failed(Failed),
     /// The caller gets this.
     Final(Denial),
     /// The engine's own refusal passes to the caller.
@@ -167,42 +167,29 @@
 impl<P: Ports> CompletionRun<P> {
     /// Makes attempts until one has its first frame.
     async fn start(&mut self) -> Result<Result<Started<P>, (StatusCode, Bytes)>, Denial> {
-        for n in 0.. {
-            let (denial, state) = match self.attempt().await {
+        loop {
+            match self.attempt().await {
                 Ok(started) => return Ok(Ok(started)),
-                Err(Failed::Final(denial)) => return Err(denial),
-                Err(Failed::Pass(status, body)) => return Ok(Err((status, body))),
-                Err(Failed::Again(denial, state)) => (denial, state),
-            };
-            let late = self.shell.now() >= self.call.demand.deadline;
-            if n + 1 >= ATTEMPTS_MAX || late {
-                return Err(denial);
+                Err(Ended::Final(denial)) => return Err(self.retry.deny(denial)),
+                Err(Ended::Pass(status, body)) => return Ok(Err((status, body))),
+                Err(Ended::Failed(failed)) => self.retry.again(&self.shell, failed).await?,
             }
-            // A permit that was refused costs the endpoints nothing.
-            let free = state == AttemptState::Unsent;
-            if !free && !self.shell.may_retry(&state, true, self.call.demand.deadline) {
-                return Err(denial);
-            }
-            self.shell.metrics.retries(1, denial.reason.code());
-            let pause = self.shell.pause(&mut self.backoff);
-            sleep(pause.std()).await;
         }
-        unreachable!("the loop returns")
     }
 
-    async fn attempt(&mut self) -> Result<Started<P>, Failed> {
-        self.shell.check_fingerprint(self.call.demand.fingerprint).map_err(Failed::Final)?;
+    async fn attempt(&mut self) -> Result<Started<P>, Ended> {
+        self.shell.check_fingerprint(self.call.demand.fingerprint).map_err(Ended::Final)?;
         let attempt = AttemptId(rand::random());
         let demand = &self.call.demand;
         let routed = self.shell.route(attempt, demand, &mut self.excluded).await;
-        let routed = routed.map_err(Failed::Final)?;
+        let routed = routed.map_err(Ended::Final)?;
         let permit = self.shell.permit(demand, &routed).await;
         let endpoint = routed.endpoint.clone();
         let mut permit = permit.map_err(|refusal| {
             self.excluded.push(endpoint.clone());
-            match refusal.passing() {
-                true => Failed::Again(refusal.denial(), AttemptState::Unsent),
-                false => Failed::Final(refusal.denial()),
+            match refusal.is_final() {
+                true => Ended::Final(refusal.failed().denial),
+                false => Ended::Failed(refusal.failed()),
             }
         })?;
         let call = Call {
@@ -215,10 +202,12 @@
             resume: None,
         };
         let Some(engine) = self.shell.engine(&endpoint) else {
-            return Err(self.unsent(permit, "the endpoint is no longer listed"));
+            return Err(Ended::Failed(self.unsent(permit, "the endpoint is no longer listed")));
         };
         if !permit.send() {
-            return Err(self.unsent(permit, "the permit expired before the request left"));
+            return Err(Ended::Failed(
+                self.unsent(permit, "the permit expired before the request left"),
+            ));
         }
         match engine.start(&call).await {
             Ok(mut reply) => match reply.frames.next().await {
@@ -226,18 +215,18 @@
                     permit.step(Step::Start);
                     Ok(Started { permit, reply, first: Some(frame) })
                 }
-                Some(Err(e)) => Err(self.broken(permit, &format!("{e:?}"))),
-                None => Err(self.broken(permit, "the answer was empty")),
+                Some(Err(e)) => Err(Ended::Failed(self.broken(permit, &format!("{e:?}")))),
+                None => Err(Ended::Failed(self.broken(permit, "the answer was empty"))),
             },
             Err(StartError::Unsent(e)) => {
                 permit.step(Step::Refuse);
-                Err(self.unsent(permit, &e))
+                Err(Ended::Failed(self.unsent(permit, &e)))
             }
             Err(StartError::Refused { status, body }) => {
                 permit.step(Step::Refuse);
                 Err(self.refused(permit, status, body))
             }
-            Err(StartError::Unknown(e)) => Err(self.broken(permit, &e)),
+            Err(StartError::Unknown(e)) => Err(Ended::Failed(self.broken(permit, &e))),
         }
     }
 
@@ -245,7 +234,7 @@
         self.excluded.push(permit.endpoint.clone());
         let denial =
             Denial::new(Reason::NoEndpoint, format!("the endpoint was not reached: {why}"));
-        Failed::Again(denial.retry_after(Ms::secs(1)), AttemptState::Unsent)
+        Failed::unsent(denial.retry_after(Ms::secs(1)))
     }
 
     fn broken(&mut self, mut permit: Permit<P>, why: &str) -> Failed {
@@ -258,19 +247,19 @@
             permit.endpoint
         );
         let message = "the endpoint failed while the request may have been running";
-        let denial = Denial::unknown(Reason::EndpointFailed, message);
-        Failed::Again(denial.retry_after(Ms::secs(1)), permit.state)
+        let denial = Denial::unknown(Reason::EndpointFailed, message).retry_after(Ms::secs(1));
+        Failed { denial, state: permit.state, unsettled: false }
     }
 
-    fn refused(&mut self, permit: Permit<P>, status: u16, body: Bytes) -> Failed {
+    fn refused(&mut self, permit: Permit<P>, status: u16, body: Bytes) -> Ended {
         self.excluded.push(permit.endpoint.clone());
         // 400 and 422 are about the request itself; no other endpoint decides otherwise.
         if matches!(status, 400 | 422) {
-            return Failed::Pass(StatusCode::from_u16(status).unwrap_or_default(), body);
+            return Ended::Pass(StatusCode::from_u16(status).unwrap_or_default(), body);
         }
         let message = format!("the endpoint refused the request with status {status}");
-        let denial = Denial::new(Reason::EndpointRefused, message);
-        Failed::Again(denial.retry_after(Ms::secs(1)), permit.state)
+        let denial = Denial::new(Reason::EndpointRefused, message).retry_after(Ms::secs(1));
+        Ended::Failed(Failed { denial, state: permit.state, unsettled: false })
     }
 
     /// Sees that a frame comes from the adapter and version that were asked for.
@@ -316,11 +305,7 @@
             self.count(&mut permit, &frame);
             if let Some(Err(e)) = reply.frames.next().await {
                 let failed = self.broken(permit, &format!("{e:?}"));
-                if let Failed::Again(denial, state) = failed
-                    && !self.shell.may_retry(&state, true, self.call.demand.deadline)
-                {
-                    return Err(denial);
-                }
+                self.retry.again(&self.shell, failed).await?;
                 continue;
             }
             permit.step(Step::Answer);
@@ -381,10 +366,7 @@
             match resumed {
                 Some(next) => reply = next,
                 None => {
-                    let Failed::Again(denial, _) = self.broken(permit, &format!("{e:?}")) else {
-                        unreachable!("a broken attempt may be tried again")
-                    };
-                    return Err(denial);
+                    return Err(self.broken(permit, &format!("{e:?}")).denial);
                 }
             }
         }
--- a/src/core.rs
+++ b/src/core.rs
@@ -165,14 +165,15 @@
         let settings = self.settings.clone();
         self.fleet.set_list(&settings.node, vms, &settings);
         self.list_resources();
-        let leaving: Vec<Endpoint> = self
-            .owned
-            .keys()
-            .filter(|name| self.fleet.endpoint(name).is_none_or(|e| e.leaving))
-            .cloned()
-            .collect();
-        for name in leaving {
-            self.with_owned(now, &name, out, |owned, outs| owned.sched.set_leaving(now, outs));
+        // An endpoint that is no longer listed counts as leaving until its ownership ends.
+        let fleet = &self.fleet;
+        let leaving = |name: &Endpoint| fleet.endpoint(name).is_none_or(|e| e.leaving);
+        let marks: Vec<(Endpoint, bool)> =
+            self.owned.keys().map(|name| (name.clone(), leaving(name))).collect();
+        for (name, leaving) in marks {
+            self.with_owned(now, &name, out, |owned, outs| {
+                owned.sched.set_leaving(now, leaving, outs);
+            });
         }
     }
 
@@ -252,6 +253,7 @@
                     EndpointSpec::new(name.clone(), row.slots as usize, row.batch as usize);
                 spec.grace = crate::grant::PERMIT_VALID + spec.grace;
                 let mut owned = Owned::new(spec, fence, now);
+                owned.sched.set_leaving(now, row.leaving, &mut Vec::new());
                 if let Some(config) = &self.config {
                     set_weights(&mut owned, config);
                 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,11 +4,13 @@
 //! and refusals into responses. The life of a request is in `serve`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use poem::{Body, Request, Response};
+use tokio::io::AsyncReadExt;
 use tokio::time::timeout;
 
 use crate::calls::{self, ServiceCall};
@@ -24,6 +26,10 @@
 
 /// Longest idempotency key in bytes.
 const KEY_MAX: usize = 255;
+/// Bytes of a refused body that are read and dropped.
+const DRAIN_MAX: usize = 1 << 20;
+/// Time for reading the rest of a refused body.
+const DRAIN_WITHIN: Duration = Duration::from_millis(500);
 /// Name of the header that carries the request's identifier back to the caller.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Name of the header that marks an answer replayed from an earlier call.
@@ -42,17 +48,17 @@
         Self { shell }
     }
 
-    async fn dispatch(&self, mut req: Request, id: RequestId) -> Result<Response, Refused> {
+    async fn dispatch(&self, req: &mut Request, id: RequestId) -> Result<Response, Refused> {
         self.check_headers(req.headers())?;
         let path = req.uri().path().to_owned();
         match (req.method().clone(), path.as_str()) {
             (Method::GET, "/healthz") => Ok(text(StatusCode::OK, "ok\n")),
             (Method::GET, "/readyz") => Ok(self.ready()),
             (Method::GET, "/v1/models") => self.models(req.headers()),
-            (Method::POST, "/v1/chat/completions") => self.completion(&mut req, id, true).await,
-            (Method::POST, "/v1/completions") => self.completion(&mut req, id, false).await,
+            (Method::POST, "/v1/chat/completions") => self.completion(req, id, true).await,
+            (Method::POST, "/v1/completions") => self.completion(req, id, false).await,
             (_, path) => match path.strip_prefix("/services/") {
-                Some(rest) => self.service(&mut req, id, rest).await,
+                Some(rest) => self.service(req, id, rest).await,
                 None => Err(Denial::new(Reason::NotFound, "no such path or method").into()),
             },
         }
@@ -162,12 +168,11 @@
     async fn body(&self, req: &mut Request) -> Result<Bytes, Denial> {
         let limits = self.shell.limits();
         let max = usize::try_from(limits.body).unwrap_or(usize::MAX);
-        if content_length(req.headers()).is_some_and(|n| n > max as u64) {
-            return Err(too_large(max));
-        }
-        match timeout(limits.slow.std(), req.take_body().into_bytes_limit(max)).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(poem::error::ReadBodyError::PayloadTooLarge)) => Err(too_large(max)),
+        match timeout(limits.slow.std(), read_body(req.take_body(), max)).await {
+            Ok(Ok(Some(body))) => Ok(body),
+            Ok(Ok(None)) => {
+                Err(Denial::new(Reason::BodyTooLarge, format!("the body exceeds {max} bytes")))
+            }
             Ok(Err(e)) => {
                 Err(Denial::new(Reason::BadBody, format!("the body could not be read: {e}")))
             }
@@ -194,12 +199,16 @@
 impl<P: Ports> poem::Endpoint for Gateway<P> {
     type Output = Response;
 
-    async fn call(&self, req: Request) -> poem::Result<Response> {
+    async fn call(&self, mut req: Request) -> poem::Result<Response> {
         let id = RequestId(rand::random());
         let _running = self.shell.enter();
-        let mut response = match self.dispatch(req, id).await {
+        let mut response = match self.dispatch(&mut req, id).await {
             Ok(response) => response,
-            Err(refused) => self.refuse(refused, id),
+            Err(refused) => {
+                let response = self.refuse(refused, id);
+                let _ = timeout(DRAIN_WITHIN, read_body(req.take_body(), 0)).await;
+                response
+            }
         };
         response.headers_mut().insert(REQUEST_ID, value(&id.to_string()));
         Ok(response)
@@ -282,18 +291,32 @@
     }
 }
 
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+/// Reads a body of at most `max` bytes; `None` for a larger one.
+///
+/// A larger body is read on for a while and dropped: closing a connection with
+/// unread data resets it, and the caller would lose the refusal.
+async fn read_body(body: Body, max: usize) -> std::io::Result<Option<Bytes>> {
+    let mut reader = body.into_async_read();
+    let mut bytes = BytesMut::new();
+    let mut dropped = 0;
+    loop {
+        if reader.read_buf(&mut bytes).await? == 0 {
+            return Ok((dropped == 0).then(|| bytes.freeze()));
+        }
+        if dropped > 0 || bytes.len() > max {
+            dropped += bytes.len();
+            bytes.clear();
+        }
+        if dropped > max.saturating_add(DRAIN_MAX) {
+            return Ok(None);
+        }
+    }
 }
 
 fn missing_key() -> Denial {
     Denial::new(Reason::MissingKey, "`Authorization: Bearer KEY` is required")
 }
 
-fn too_large(max: usize) -> Denial {
-    Denial::new(Reason::BodyTooLarge, format!("the body exceeds {max} bytes"))
-}
-
 fn model_denial(error: &ModelError, model: &str) -> Denial {
     match error {
         ModelError::Unknown => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod quota;
 pub mod recorder;
 pub mod refusal;
+mod retry;
 mod rules;
 pub mod s3;
 pub mod sample;
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -13,19 +13,12 @@
 use crate::grant::Outcome;
 use crate::ids::{AttemptId, Endpoint, Node, Team};
 use crate::quota::Reservation;
+use crate::retry::{Failed, TAKEOVER};
 use crate::shell::{Ports, Shell};
 use crate::time::Ms;
 
-/// First delay before a retry.
-pub(crate) const BACKOFF: Ms = Ms(20);
-/// Longest delay before a retry.
-pub(crate) const BACKOFF_MAX: Ms = Ms(500);
 /// Wait for loans before the quota is asked again.
 const LOAN_WAIT: Ms = Ms(25);
-/// Time for which a request waits for an endpoint with an owner.
-///
-/// A takeover lasts at most 5 s; a refusal during one would be a wrongful one.
-const TAKEOVER: Ms = Ms::secs(8);
 /// Pause between two looks at the table of endpoints.
 const ROUTE_PAUSE: Ms = Ms(50);
 
@@ -274,13 +267,22 @@
 }
 
 impl Refusal {
-    /// Whether another endpoint, or the same one a little later, may grant it.
-    pub(crate) fn passing(&self) -> bool {
-        !matches!(self.reason.as_str(), "quarantined" | "deadline_expired")
+    /// The failed attempt that the refusal leaves behind.
+    pub(crate) fn failed(&self) -> Failed {
+        // A takeover settles who owns the endpoint.
+        let unsettled = matches!(
+            self.reason.as_str(),
+            "not_owner" | "no_answer" | "no_authority" | "endpoint_leaving" | "endpoint_unhealthy"
+        );
+        Failed { unsettled, ..Failed::unsent(self.denial()) }
     }
 
-    /// What the caller is told.
-    pub(crate) fn denial(&self) -> Denial {
+    /// Whether no endpoint will decide otherwise.
+    pub(crate) fn is_final(&self) -> bool {
+        matches!(self.reason.as_str(), "quarantined" | "deadline_expired")
+    }
+
+    fn denial(&self) -> Denial {
         let (reason, message) = match self.reason.as_str() {
             "deadline_infeasible" | "deadline_expired" => {
                 (Reason::Deadline, "the request would miss its deadline in the queue")
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,99 @@
+//! Whether and when a request gets another attempt.
+//!
+//! A request whose attempt may have run is never again reported as "not run",
+//! whatever becomes of its later attempts.
+
+use tokio::time::sleep;
+
+use crate::attempt::{AttemptState, Backoff};
+use crate::denial::Denial;
+use crate::shell::{Ports, Shell};
+use crate::time::Ms;
+
+/// Most attempts for one request, refusals during a takeover aside.
+const ATTEMPTS_MAX: u32 = 4;
+/// First delay before a retry.
+const BACKOFF: Ms = Ms(20);
+/// Longest delay before a retry.
+const BACKOFF_MAX: Ms = Ms(500);
+/// Time for which a request waits for an endpoint with an owner.
+///
+/// A takeover lasts at most 5 s; a refusal during one would be a wrongful one.
+pub(crate) const TAKEOVER: Ms = Ms::secs(8);
+
+/// A failed attempt.
+#[derive(Debug)]
+pub(crate) struct Failed {
+    /// What the caller is told if there is no further attempt.
+    pub(crate) denial: Denial,
+    /// State in which the attempt ended.
+    pub(crate) state: AttemptState,
+    /// Whether it failed because the endpoint's owner is changing.
+    pub(crate) unsettled: bool,
+}
+
+impl Failed {
+    /// An attempt that was not sent.
+    pub(crate) fn unsent(denial: Denial) -> Self {
+        Self { denial, state: AttemptState::Unsent, unsettled: false }
+    }
+}
+
+/// Attempts of one request.
+#[derive(Debug)]
+pub(crate) struct Retry {
+    begun: Ms,
+    deadline: Ms,
+    repeatable: bool,
+    failures: u32,
+    maybe: bool,
+    backoff: Backoff,
+}
+
+impl Retry {
+    /// The first attempt of a request; `repeatable` says that a second run is harmless.
+    pub(crate) fn new(begun: Ms, deadline: Ms, repeatable: bool) -> Self {
+        let backoff = Backoff::new(BACKOFF, BACKOFF_MAX);
+        Self { begun, deadline, repeatable, failures: 0, maybe: false, backoff }
+    }
+
+    /// Waits before the next attempt.
+    ///
+    /// # Errors
+    /// Returns the refusal where no further attempt is allowed.
+    pub(crate) async fn again<P: Ports>(
+        &mut self,
+        shell: &Shell<P>,
+        failed: Failed,
+    ) -> Result<(), Denial> {
+        let Failed { denial, state, unsettled } = failed;
+        self.maybe |= denial.ran;
+        let now = shell.now();
+        let allowed = now < self.deadline
+            && match (unsettled, state) {
+                (true, _) => now < self.begun + TAKEOVER,
+                (false, AttemptState::Unsent) => self.count(),
+                (false, state) => {
+                    self.count() && shell.may_retry(&state, self.repeatable, self.deadline)
+                }
+            };
+        if !allowed {
+            return Err(self.deny(denial));
+        }
+        shell.metrics.retries(1, denial.reason.code());
+        let pause = shell.pause(&mut self.backoff);
+        sleep(pause.std()).await;
+        Ok(())
+    }
+
+    fn count(&mut self) -> bool {
+        self.failures += 1;
+        self.failures < ATTEMPTS_MAX
+    }
+
+    /// The refusal of a request, true to all its attempts.
+    pub(crate) fn deny(&self, mut denial: Denial) -> Denial {
+        denial.ran |= self.maybe;
+        denial
+    }
+}
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -363,10 +363,17 @@
         self.adopt(now, attempt, true);
     }
 
-    /// Refuses all queued jobs and grants nothing more.
-    pub fn set_leaving(&mut self, _now: Ms, out: &mut Vec<SchedOut>) {
-        self.leaving = true;
-        self.refuse_all(RefuseReason::Leaving, Ms(0), out);
+    /// Tells whether the endpoint is being taken away; if so, all queued jobs are refused
+    /// and nothing more is granted.
+    pub fn set_leaving(&mut self, now: Ms, leaving: bool, out: &mut Vec<SchedOut>) {
+        if leaving == self.leaving {
+            return;
+        }
+        self.leaving = leaving;
+        match leaving {
+            true => self.refuse_all(RefuseReason::Leaving, Ms(0), out),
+            false => self.grant(now, out),
+        }
     }
 
     /// Tells whether the endpoint answers; if not, all queued jobs are refused.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -11,9 +11,6 @@
 use crate::denial::{Denial, Reason};
 use crate::ids::{KeyId, Team};
 
-/// Most attempts for one request.
-pub(crate) const ATTEMPTS_MAX: usize = 4;
-
 /// Who sent a request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Caller {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -5,6 +5,8 @@
 use deployment::{Deployment, KEYS, adapter};
 use http::Method;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 fn bearer(key: &str) -> String {
     format!("Bearer {key}")
@@ -152,3 +154,36 @@
         models["data"].as_array().unwrap().iter().filter_map(|m| m["id"].as_str()).collect();
     assert!(names.contains(&adapter(0, 0).as_str()) && !names.contains(&adapter(1, 0).as_str()));
 }
+
+// Guards against a body that never ends and occupies a connection and a task.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_body_is_refused() {
+    let d = Deployment::start(1, 1).await;
+    let mut stream = TcpStream::connect(d.nodes[0].callers).await.unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         content-length: 100\r\n\r\n{{\"model\"",
+        KEYS[0]
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4096];
+    let n = stream.read(&mut answer).await.unwrap();
+    let text = String::from_utf8_lossy(&answer[..n]);
+    assert!(text.starts_with("HTTP/1.1 408") && text.contains("slow_body"), "{text}");
+}
+
+// Guards against "not run" for a request whose first attempt was sent and lost, when no
+// endpoint is left for a second attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_first_attempt_is_not_reported_as_not_run() {
+    let d = Deployment::start(1, 1).await;
+    let fault = json!({"crash_marker": "crash-me", "crash_ms": 600_000});
+    d.fault(d.endpoints[0].addr, fault).await;
+    let body = json!({"model": adapter(0, 1), "max_tokens": 4,
+        "messages": [{"role": "user", "content": "crash-me"}]});
+    let key = bearer(KEYS[0]);
+    let headers = [("authorization", key.as_str())];
+    let whole = d.send(0, Method::POST, "/v1/chat/completions", &headers, &body.to_string()).await;
+    let answer: Value = serde_json::from_slice(&whole.body).unwrap();
+    assert_eq!(answer["error"]["ran"], "unknown", "{answer}");
+}
--- a/tests/sched.rs
+++ b/tests/sched.rs
@@ -406,7 +406,7 @@
     sched.submit(Ms(0), job(2, "t", Some(adapter(1)), Ms(0)), &mut out);
     assert_eq!(grants(&out), [1]);
     out.clear();
-    sched.set_leaving(Ms(1), &mut out);
+    sched.set_leaving(Ms(1), true, &mut out);
     sched.submit(Ms(2), job(3, "t", None, Ms(2)), &mut out);
     assert!(sched.on_end(Ms(3), AttemptId(1), 100, &mut out));
     sched.tick(Ms(4), &mut Gate(true), &mut out);
