Drop lent permits that a later loan covers

Permits of replaced loans were kept one entry per ask until the end of the term. With ten asks a second and 15 borrowers this is hundreds of entries, and the debit is computed over pairs of them.

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -369,7 +369,15 @@
                 loan.share.burst = 0;
             }
         }
-        self.lent.retain(|l| l.share != Share::default() || l.flight > 0);
+        // A later loan of as many permits ends later and covers an unused one.
+        let lent = std::mem::take(&mut self.lent);
+        for (i, loan) in lent.iter().enumerate() {
+            let Share { rate, burst, permits } = loan.share;
+            let later = |l: &Lent| l.to == loan.to && l.share.permits >= permits;
+            if rate + burst + loan.flight > 0 || permits > 0 && !lent[i + 1..].iter().any(later) {
+                self.lent.push(loan.clone());
+            }
+        }
         self.refresh();
     }
 
