Keep quota seats through a table outage of any length

Cause: seats were bounded like endpoints without fence checks, so that a table outage longer than the bound (30 s by default) suspended admission on every node and stopped all inference. Promises now extend seats without a bound. In return a node that was evicted only for its silence keeps its seats until there is proof that it cannot use them: its process ended, its VM is gone from the list, it reports a lower level, or it has been absent from the list for the bound.

Weighed: bounding seats and serving without a quota, which could exceed the rate.

long_outage_is_survived_within_bounds expected seats to end at the bound; that contradicted the requirement that an outage stops no inference, and the test now demands that seats hold for the whole ten minutes. It failed at 31 s before the change; new_node_waits_for_promises_of_the_others failed with two holders of a seat.

--- a/src/assign.rs
+++ b/src/assign.rs
@@ -123,11 +123,12 @@
             let start = *self.ripe.entry(node.clone()).or_insert(now);
             let delay = Ms(EVICT_RANK.0 * self.rank(&key, live));
             if now >= start + delay && self.open(&key) {
-                due.push((node.clone(), key, known.clone()));
+                let presumed = evidence == Some(Evidence::Overdue);
+                due.push((node.clone(), key, known.clone(), presumed));
             }
         }
-        for (node, key, known) in due {
-            let row = NodeRow { state: NodeState::Gone, ..known.row };
+        for (node, key, known, presumed) in due {
+            let row = NodeRow { state: NodeState::Gone, presumed, ..known.row };
             let write = Write::put(key, Cond::Version(known.version), json(&row));
             self.commit(now, vec![write], |_| Pending::Evict(node, row));
         }
@@ -180,7 +181,11 @@
             && self.probed.get(owner).and_then(|p| p.report).is_none_or(|(sent, level)| {
                 level < Level::Promised || now.since(sent) >= settings.ttl
             });
-        (known.row.state == NodeState::Gone || fenced)
+        let gone = match resource {
+            Resource::Endpoint { .. } => known.row.state == NodeState::Gone,
+            Resource::Seat { .. } => known.unseated(now, self.probed.get(owner), settings),
+        };
+        (gone || fenced)
             .then(|| claim(row(next, true), Some((node, Cond::Version(known.version)))))
             .flatten()
     }
--- a/src/authority.rs
+++ b/src/authority.rs
@@ -353,11 +353,16 @@
         for (node, probed) in &mut self.probed {
             let peer = view.nodes.iter().find(|p| p.node == *node);
             let beat = peer.and_then(|p| p.heartbeat);
+            match peer.is_some_and(|p| p.listed) {
+                true => probed.absent = None,
+                false => drop(probed.absent.get_or_insert(now)),
+            }
             let silent = beat.is_none_or(|at| now.since(at) >= settings.suspect);
             let known = self.nodes.get(node);
             let expired = known.is_some_and(|k| k.expired(now, &settings));
             let gone = known.is_some_and(|k| k.row.state == NodeState::Gone);
-            if gone || probed.ended() || now < probed.next || !(silent || expired) {
+            let presumed = known.is_some_and(|k| k.row.presumed);
+            if (gone && !presumed) || probed.ended() || now < probed.next || !(silent || expired) {
                 continue;
             }
             // A node without a row owns nothing; it matters only for promises.
@@ -402,7 +407,8 @@
             (_, true) => NodeState::Draining,
             _ => NodeState::Live,
         };
-        let row = NodeRow { counter: self.lease.counter + 1, sent: now, state, peers };
+        let row =
+            NodeRow { counter: self.lease.counter + 1, sent: now, state, peers, presumed: false };
         let write = Write::put(key.clone(), cond, json(&row));
         if self.leaving {
             self.commit(now, vec![write], |_| Pending::Leave);
@@ -478,7 +484,7 @@
     /// Asks for promises while commits fail and an extension is still possible.
     fn ask_promises(&mut self, now: Ms, view: &View) {
         let level = self.lease.level(now);
-        if level < Level::Promised || self.leaving || !self.lease.cut_off(now) {
+        if level < Level::Seated || self.leaving || !self.lease.cut_off(now) {
             return;
         }
         let mut required = self.peers(now, view);
--- a/src/core.rs
+++ b/src/core.rs
@@ -216,7 +216,7 @@
         self.authority.tick(now, &view, &mut outs);
         self.resources = view.resources;
         self.absorb_authority(now, outs, out);
-        let suspended = self.authority.level(now) < Level::Promised;
+        let suspended = self.authority.level(now) < Level::Seated;
         if suspended != self.suspended {
             self.suspended = suspended;
             match suspended {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -28,6 +28,8 @@
     None,
     /// Lease lapsed, peers heard: only endpoints that check fences, and inference.
     Fenced,
+    /// Lease extended by promises beyond the bound: also quota seats.
+    Seated,
     /// Lease extended by the promises of all peers, within the bound.
     Promised,
     /// Lease valid.
@@ -39,8 +41,9 @@
     pub const fn from_wire(n: u32) -> Self {
         match n {
             1 => Self::Fenced,
-            2 => Self::Promised,
-            3 => Self::Full,
+            2 => Self::Seated,
+            3 => Self::Promised,
+            4 => Self::Full,
             _ => Self::None,
         }
     }
@@ -64,7 +67,7 @@
     pub margin: Ms,
     /// Validity of a promise, from the sending of its request; must be below `wait`.
     pub promise: Ms,
-    /// Longest extension by promises for endpoints without fence checks and seats.
+    /// Longest extension by promises for endpoints without fence checks.
     pub bound: Ms,
     /// Wait before the first takeover after the table service answers (again).
     pub wait: Ms,
@@ -158,6 +161,10 @@
     pub state: NodeState,
     /// Nodes without whose promise the lease is not extended.
     pub peers: BTreeSet<Node>,
+    /// Whether the node was evicted only for its long silence, so that it may still
+    /// use its seats.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub presumed: bool,
 }
 
 /// Lease of one node, with its extension by promises.
@@ -172,8 +179,10 @@
     pub(crate) pledged: BTreeSet<Node>,
     /// End of the validity by renewal.
     until: Ms,
-    /// End of the validity by promises.
+    /// End of the validity by promises, within the bound.
     extended: Ms,
+    /// End of the validity by promises for quota seats, without a bound.
+    seated: Ms,
     /// Start of the present validity by renewals, without a lapse in between.
     since: Option<Ms>,
     /// Last instant at which the table service or a peer was heard.
@@ -197,6 +206,7 @@
             pledged: BTreeSet::new(),
             until: Ms(0),
             extended: Ms(0),
+            seated: Ms(0),
             since: None,
             heard: None,
             failing: false,
@@ -226,6 +236,8 @@
             Level::Full
         } else if now < self.extended {
             Level::Promised
+        } else if now < self.seated {
+            Level::Seated
         } else if self.heard.is_some_and(|at| now.since(at) < self.settings.ttl) {
             Level::Fenced
         } else {
@@ -274,8 +286,11 @@
         self.hear(row.sent.min(now));
     }
 
-    /// Extends the lease up to `end`, within the bound and without a gap.
+    /// Extends the lease up to `end` without a gap, for seats beyond the bound.
     pub(crate) fn extend(&mut self, now: Ms, end: Ms) {
+        if now < self.until.max(self.seated) {
+            self.seated = self.seated.max(end);
+        }
         let end = end.min(self.until + self.settings.bound);
         if now < self.until.max(self.extended) {
             self.extended = self.extended.max(end);
@@ -287,6 +302,7 @@
         self.version = version;
         self.until = Ms(0);
         self.extended = Ms(0);
+        self.seated = Ms(0);
         self.since = None;
         self.pledged.clear();
         self.sent = None;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -206,7 +206,11 @@
         let fenced = resource.checks_fence();
         let endpoint = matches!(resource, Resource::Endpoint { .. });
         let shared = endpoint && order == Order::Infer;
-        let least = if fenced || shared { Level::Fenced } else { Level::Promised };
+        let least = match endpoint {
+            true if fenced || shared => Level::Fenced,
+            true => Level::Promised,
+            false => Level::Seated,
+        };
         if level < least {
             return Err(Denied::Authority(level));
         }
--- a/src/takeover.rs
+++ b/src/takeover.rs
@@ -65,6 +65,8 @@
     pub(crate) listed: bool,
     /// Whether the VM list showed it and no longer does.
     pub(crate) unlisted: bool,
+    /// Since when the VM list has not shown it, whether or not it ever did.
+    pub(crate) absent: Option<Ms>,
 }
 
 impl Probed {
@@ -85,6 +87,28 @@
         self.row.state == NodeState::Live && !self.expired(now, settings)
     }
 
+    /// Whether the node can no longer use its seats.
+    ///
+    /// Promises extend seats without a bound, so that silence alone proves nothing:
+    /// a seat stays idle rather than having two holders.
+    pub(crate) fn unseated(
+        &self,
+        now: Ms,
+        probed: Option<&Probed>,
+        settings: &LeaseSettings,
+    ) -> bool {
+        if self.row.state != NodeState::Gone {
+            return false;
+        }
+        // The list lags behind, but not by as long as the node has been silent.
+        let absent = probed.and_then(|p| p.absent).map(|at| at.max(self.since));
+        let report = probed.and_then(|p| p.report).filter(|(sent, _)| *sent >= self.since);
+        !self.row.presumed
+            || probed.is_some_and(Probed::ended)
+            || absent.is_some_and(|at| now.since(at) >= settings.bound)
+            || report.is_some_and(|(_, level)| level < Level::Seated)
+    }
+
     /// Evidence that allows an eviction of this node by `me`.
     pub(crate) fn evidence(
         &self,
@@ -105,7 +129,7 @@
         }
         // An earlier report could precede a late answer to the last renewal.
         let report = probed.and_then(|p| p.report).filter(|(sent, _)| *sent >= expiry);
-        if report.is_some_and(|(_, level)| level < Level::Promised) {
+        if report.is_some_and(|(_, level)| level < Level::Seated) {
             return Some(Evidence::Powerless);
         }
         if self.row.peers.contains(me) {
