--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,8 @@
 
 enum Event {
     Request(AuthorityOut),
+    /// Second page of a scan, which is not atomic.
+    Page(OpId, String, Vec<Row>),
     Committed(OpId, Result<Commit, Error>),
     Read(OpId, Result<Vec<Row>, Error>),
     Heartbeat(usize, u64, Level),
@@ -127,7 +129,7 @@
     /// Starts a new incarnation.
     pub fn join(&mut self, listed: bool) -> usize {
         let i = self.members.len();
-        let name = Node::new(&format!("n{i}"));
+        let name = Node::new(&format!("n{i:03}"));
         let auth = Authority::new(name.clone(), LeaseSettings::default(), self.rng.random());
         let view = View { nodes: Vec::new(), resources: self.resources.clone() };
         self.members.push(Member {
@@ -287,6 +289,11 @@
         if let Event::Request(out) = event {
             return self.serve(i, out);
         }
+        if let Event::Page(op, prefix, mut rows) = event {
+            let last = rows.last().map(|r| r.key.clone()).unwrap_or_default();
+            rows.extend(self.table.scan(&prefix).into_iter().filter(|r| r.key > last));
+            return self.send(i, 1, Event::Read(op, Ok(rows)));
+        }
         if self.members[i].killed {
             return;
         }
@@ -297,7 +304,7 @@
         let now = self.clock(i);
         let auth = &mut self.members[i].auth;
         match event {
-            Event::Request(_) => {}
+            Event::Request(_) | Event::Page(..) => {}
             Event::Committed(op, result) => auth.on_commit(now, op, result),
             Event::Read(op, result) => auth.on_rows(now, op, result),
             Event::Promise(from, sent, p) => {
@@ -332,6 +339,12 @@
                 let result = (!down && fault != Some(false)).then(|| self.table.commit(&txn));
                 Event::Committed(op, result.filter(|_| !lost && fault.is_none()).ok_or_else(error))
             }
+            AuthorityOut::Scan { op, prefix } if !down && !lost => {
+                let mut rows = self.table.scan(&prefix);
+                rows.truncate(self.rng.random_range(0..=rows.len()));
+                let late = if self.loss > 0 { self.rng.random_range(0..1500) } else { 5 };
+                return self.send(i, late, Event::Page(op, prefix, rows));
+            }
             AuthorityOut::Scan { op, prefix: key } | AuthorityOut::Get { op, key } => {
                 let rows = self.table.scan(&key);
                 Event::Read(op, if down || lost { Err(error()) } else { Ok(rows) })
