--- a/src/lease.rs
+++ b/src/lease.rs
@@ -8,8 +8,8 @@
 //! Authority over resources without fence checks ends at the first instant at
 //! which neither the lease nor promises cover it. Only a renewal that commits
 //! restores it; later promises do not. Takeover relies on this rule: a holder
-//! that has been found without authority cannot recover it behind the claimant's
-//! back.
+//! found without authority regains it only by a renewal, and that renewal and the
+//! claimant's eviction are conditional on the same version of the same row.
 
 use std::collections::BTreeSet;
 
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -116,7 +116,7 @@
     }
 }
 
-/// Guards against a new node that claims behind the back of nodes that live on promises.
+/// Guards against a new node that claims while promises still extend the leases of others.
 #[test]
 fn new_node_waits_for_promises_of_the_others() {
     let mut cell = settled(7, 3);
