--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -71,6 +71,17 @@
 impl AttemptState {
     /// Applies a step.
     ///
+    /// ```
+    /// use sycamorefork::attempt::{AttemptState, Ran, Step};
+    ///
+    /// let mut state = AttemptState::Unsent;
+    /// state.apply(Step::Send).unwrap();
+    /// assert_eq!(state.ran(), Ran::Unknown);
+    /// state.apply(Step::Refuse).unwrap();
+    /// assert_eq!(state.ran(), Ran::No);
+    /// assert!(state.apply(Step::Send).is_err());
+    /// ```
+    ///
     /// # Errors
     /// A step that the state does not allow is an invariant violation; the
     /// state stays as it was.
@@ -178,6 +189,21 @@
 ///
 /// Allowed where the request certainly did not run, or where the route
 /// declares its calls repeatable, before the deadline and within the budget.
+///
+/// ```
+/// use sycamorefork::attempt::{AttemptState, RetryBudget, may_retry};
+/// use sycamorefork::time::Ms;
+///
+/// // 10 retries per 100 first attempts, and one per second.
+/// let mut budget = RetryBudget::new(Ms(0), 10, 1);
+/// let (now, deadline) = (Ms(0), Ms(500));
+/// assert!(!may_retry(now, &AttemptState::Unknown, false, &mut budget, deadline));
+/// assert!(may_retry(now, &AttemptState::Unknown, true, &mut budget, deadline));
+/// assert!(!may_retry(now, &AttemptState::Unsent, false, &mut budget, deadline));
+/// (0..10).for_each(|_| budget.on_first(now));
+/// assert!(may_retry(now, &AttemptState::Unsent, false, &mut budget, deadline));
+/// assert!(!may_retry(deadline, &AttemptState::Unsent, true, &mut budget, deadline));
+/// ```
 pub fn may_retry(
     now: Ms,
     state: &AttemptState,
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -9,7 +9,32 @@
 //! attempt, because a paused sender could still send it.
 //!
 //! Events are collected by [`Claims::poll`], which the shell calls after each
-//! input and at least every 20 ms.
+//! input and at least every 20 ms. Each [`ClaimOut::Proceed`] is answered by one
+//! [`Claims::finish`]; a node that may not send finishes with
+//! [`Outcome::NotRun`]. A claim belongs to one attempt, so a retry on another
+//! endpoint finishes the first attempt as not run and opens a new call.
+//!
+//! ```
+//! use sycamorefork::claim::{Call, ClaimOut, Claims, Opened, Outcome, Settings};
+//! use sycamorefork::ids::{AttemptId, Node};
+//! use sycamorefork::platform::Commit;
+//! use sycamorefork::time::Ms;
+//!
+//! let mut claims = Claims::new(Node::new("node"), Settings::default(), 1);
+//! let call = Call {
+//!     key: "claim/key".to_owned(),
+//!     digest: "body".to_owned(),
+//!     attempt: AttemptId(7),
+//!     endpoint: "booking-1".into(),
+//!     deadline: Ms(1000),
+//!     created: Ms(1_700_000_000_000),
+//! };
+//! let Opened::Queued(ticket) = claims.open(Ms(0), call) else { panic!() };
+//! let batch = claims.next_batch(Ms(0)).unwrap();
+//! claims.on_commit(Ms(5), batch.id, Ok(Commit::Done(vec![1])));
+//! assert_eq!(claims.poll(Ms(5)), [ClaimOut::Proceed(ticket)]);
+//! claims.finish(Ms(9), ticket, Outcome::NotRun).unwrap();
+//! ```
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -12,6 +12,28 @@
 //! one counts as the newest. Read the clock after a [`LoanAsk`] has arrived: a
 //! paused node with an older reading may have lost the seats it would lend. [`Quota::levels`] must run at least every
 //! [`Settings::gap`], because refill is dropped over longer silences.
+//!
+//! A caller is refused at the latest [`Settings::cool`] after its first
+//! [`Take::Borrow`]. The burst of a spec with few units, such as loads, should
+//! be at least [`SEATS`] units: a node whose capacity is below one unit must
+//! gather it from peers for each request, and the concurrency limit bounds the
+//! load anyway.
+//!
+//! ```
+//! use sycamorefork::ids::Team;
+//! use sycamorefork::quota::{Quota, RateSpec, SEATS, Settings, Take};
+//! use sycamorefork::time::Ms;
+//!
+//! let team = Team::new("team");
+//! let mut quota = Quota::new(Settings::default());
+//! quota.set_rates(Ms(0), &[(team.clone(), RateSpec::new(1000, 500))]);
+//! for seat in 0..SEATS {
+//!     quota.gain_seat(Ms(0), &team, seat, Ms(0));
+//! }
+//! let Take::Granted(reservation) = quota.take(Ms(200), &team, 150) else { panic!() };
+//! quota.settle(Ms(300), reservation, 120);
+//! assert!(matches!(quota.take(Ms(300), &team, 501), Take::Refused { retry_after: None, .. }));
+//! ```
 
 use crate::bucket::{Borrowed, Bucket, Lent, MICRO, SPEC_MAX, Share, part, shares};
 pub use crate::bucket::{RateSpec, SEATS, SHARES};
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -11,7 +11,7 @@
 };
 use sycamorefork::error::{Error, Result};
 use sycamorefork::ids::{AttemptId, Node};
-use sycamorefork::platform::{Commit, Cond, Op, Row};
+use sycamorefork::platform::{Commit, Cond, Op, Row, Write};
 use sycamorefork::time::Ms;
 
 const SEED: u64 = 0x5eed_c1a1;
@@ -511,6 +511,7 @@
     assert_eq!(claims.open(Ms(0), call("claim/50", "a", 50, 500)), Opened::Full);
     let batch = claims.next_batch(Ms(0)).unwrap();
     claims.on_commit(Ms(5), batch.id, Ok(Commit::Done(vec![1; 50])));
+    let rows: BTreeMap<String, Row> = batch.txn.writes.into_iter().map(row).collect();
     let answer = Answer { body: vec![0; 1000].into(), ..answer(0) };
     for out in claims.poll(Ms(5)) {
         let ClaimOut::Proceed(ticket) = out else { panic!("{out:?}") };
@@ -529,13 +530,8 @@
         }
         for out in claims.poll(now) {
             let ClaimOut::Read { keys } = out else { panic!("{out:?}") };
-            let row = |key: &String| {
-                let op = serde_row(key);
-                Row { key: key.clone(), version: 1, txn: String::new(), value: op.into() }
-            };
-            let rows =
-                if up { Ok(keys.iter().map(row).collect()) } else { Err(lost().unwrap_err()) };
-            claims.on_rows(now, &keys, rows);
+            let found = keys.iter().map(|k| rows[k].clone()).collect();
+            claims.on_rows(now, &keys, if up { Ok(found) } else { Err(lost().unwrap_err()) });
         }
         now = now + Ms(10);
     }
@@ -543,10 +539,9 @@
     assert!(claims.is_empty());
 }
 
-/// The running row of the call with this key.
-fn serde_row(key: &str) -> String {
-    let attempt = AttemptId(key["claim/".len()..].parse().unwrap());
-    format!(
-        r#"{{"digest":"a","attempt":"{attempt}","node":"node","endpoint":"booking-1","state":"running","created":0}}"#
-    )
+/// The row that a write leaves.
+fn row(write: Write) -> (String, Row) {
+    let Op::Put(value) = write.op else { panic!("unexpected operation {:?}", write.op) };
+    let row = Row { key: write.key.clone(), version: 1, txn: String::new(), value };
+    (write.key, row)
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -17,25 +17,8 @@
 /// Milliseconds after which others take over the seats of a paused node.
 const LEASE: u64 = 3000;
 
-enum Body {
-    Ask(LoanAsk),
-    Loan(Loan),
-}
-
-/// A message between two incarnations.
-struct Msg {
-    from: Node,
-    to: Node,
-    body: Body,
-}
-
-/// How much of its reservation a request uses.
-#[derive(Clone, Copy)]
-enum Usage {
-    Exact,
-    Below,
-    Overrun,
-}
+/// Sender, receiver and contents of a message between two incarnations.
+type Msg = (Node, Node, Result<LoanAsk, Loan>);
 
 struct Sim {
     name: Node,
@@ -50,7 +33,6 @@
     /// Requests that wait for loans: tokens, rounds of asks, hold, next try.
     waiting: Vec<(u64, u32, u64, u64)>,
     held: Vec<(u64, u64, Reservation)>,
-    generation: u32,
 }
 
 struct World {
@@ -62,7 +44,8 @@
     nodes: Vec<Sim>,
     holders: Vec<usize>,
     messages: BTreeMap<(u64, u64), Msg>,
-    usage: Usage,
+    /// Least and most that a request uses of its reservation, in percent.
+    usage: (u64, u64),
     lost: u32,
     late: u32,
     granted: u64,
@@ -87,7 +70,7 @@
             nodes: Vec::new(),
             holders: holders.to_vec(),
             messages: BTreeMap::new(),
-            usage: Usage::Exact,
+            usage: (100, 100),
             lost: 0,
             late: 0,
             granted: 0,
@@ -109,7 +92,6 @@
                 inbox: Vec::new(),
                 waiting: Vec::new(),
                 held: Vec::new(),
-                generation: 0,
             });
             world.configure(i, spec);
         }
@@ -145,20 +127,21 @@
     }
 
     fn receive(&mut self, to: usize, now: Ms, msg: Msg) {
-        match msg.body {
-            Body::Ask(ask) => {
-                if let Some(loan) = self.nodes[to].quota.on_ask(now, &msg.from, &ask) {
-                    self.send(Msg { from: msg.to, to: msg.from, body: Body::Loan(loan) });
+        let (from, me, body) = msg;
+        match body {
+            Ok(ask) => {
+                if let Some(loan) = self.nodes[to].quota.on_ask(now, &from, &ask) {
+                    self.send((me, from, Err(loan)));
                 }
             }
-            Body::Loan(loan) => self.nodes[to].quota.on_loan(now, &msg.from, &loan),
+            Err(loan) => self.nodes[to].quota.on_loan(now, &from, &loan),
         }
     }
 
     fn send_asks(&mut self, node: usize, asks: Vec<(Node, LoanAsk)>) {
         for (to, ask) in asks {
             let from = self.nodes[node].name.clone();
-            self.send(Msg { from, to, body: Body::Ask(ask) });
+            self.send((from, to, Ok(ask)));
         }
     }
 
@@ -192,7 +175,7 @@
             && entry.key().0 <= self.now
         {
             let msg = entry.remove();
-            let Some(to) = self.nodes.iter().position(|n| n.name == msg.to) else { continue };
+            let Some(to) = self.nodes.iter().position(|n| n.name == msg.1) else { continue };
             if self.nodes[to].paused.is_some() {
                 self.nodes[to].inbox.push((self.now, msg));
             } else {
@@ -213,11 +196,7 @@
                 }
                 let (_, _, reservation) = self.nodes[i].held.swap_remove(k);
                 let tokens = reservation.tokens();
-                let used = match self.usage {
-                    Usage::Exact => tokens,
-                    Usage::Below => self.rng.random_range(0..=tokens),
-                    Usage::Overrun => self.rng.random_range(0..=tokens * 10 / 9),
-                };
+                let used = tokens * self.rng.random_range(self.usage.0..=self.usage.1) / 100;
                 returned += tokens.saturating_sub(used);
                 self.nodes[i].quota.settle(now, reservation, used);
             }
@@ -274,9 +253,8 @@
         self.orphans.extend(n.held.drain(..).map(|(end, ..)| end));
         n.waiting.clear();
         n.inbox.clear();
-        n.generation += 1;
-        let old =
-            std::mem::replace(&mut n.name, Node::new(&format!("node-{node}.{}", n.generation)));
+        let new = Node::new(&format!("node-{node}-{}", self.now));
+        let old = std::mem::replace(&mut n.name, new);
         n.quota = Quota::new(self.settings);
         self.configure(node, spec);
         for peer in &mut self.nodes {
@@ -331,7 +309,7 @@
         let mut world = World::new(seed, &holders, spec);
         world.lost = 100;
         world.late = [50, 400][rng.random_range(0..2)];
-        world.usage = [Usage::Exact, Usage::Below, Usage::Overrun][rng.random_range(0..3)];
+        world.usage = [(100, 100), (0, 100), (0, 110)][rng.random_range(0..3)];
         let changes = rng.random_bool(0.5);
         let pauses = rng.random_bool(0.5);
         let drift = rng.random_range(0..4) == 0;
