--- a/src/admin.rs
+++ b/src/admin.rs
@@ -32,6 +32,14 @@
     claims: usize,
     records: usize,
     lost: u64,
+    sent: SentStatus,
+}
+
+/// What the node has sent to its peers.
+#[derive(Debug, Serialize)]
+struct SentStatus {
+    frames: u64,
+    bytes: u64,
 }
 
 #[derive(Debug, Serialize)]
@@ -120,6 +128,7 @@
 
     fn status(&self) -> Status {
         let shell = &self.shell;
+        let links = shell.open_links();
         let now = shell.now();
         let claims = shell.claims.lock().unwrap().len();
         let records = shell.recorder.lock().unwrap().stats();
@@ -172,6 +181,7 @@
             claims,
             records: records.records,
             lost: records.lost,
+            sent: SentStatus { frames: links.sent().frames(), bytes: links.sent().bytes() },
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,6 +8,7 @@
 //! Links are authenticated when they open but not encrypted.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -38,8 +39,37 @@
 /// Frames that may wait for a link; more are dropped, as on a lossy network.
 const QUEUE: usize = 4096;
 
+/// Bytes of the length prefix of a frame.
+const PREFIX: u64 = 4;
+
 type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
+/// Frames that a node has sent on all its links, handshakes excepted.
+#[derive(Debug, Default)]
+pub(crate) struct Sent {
+    frames: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Sent {
+    /// Frames so far.
+    pub(crate) fn frames(&self) -> u64 {
+        self.frames.load(Ordering::Relaxed)
+    }
+
+    /// Bytes so far, with the frames' length prefixes and without TCP's headers.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    fn encode(&self, body: Body) -> Bytes {
+        let frame = encode(body);
+        self.frames.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(PREFIX + frame.len() as u64, Ordering::Relaxed);
+        frame
+    }
+}
+
 /// Receives what arrives from other nodes.
 pub(crate) trait Handler: Clone + Send + Sync + 'static {
     /// Handles one message.
@@ -72,13 +102,25 @@
     me: Node,
     secret: Arc<[u8]>,
     handler: H,
+    sent: Arc<Sent>,
     out: Mutex<Map<String, Outgoing>>,
 }
 
 impl<H: Handler> Links<H> {
     /// Makes the set of links without dialing anything.
     pub(crate) fn new(me: Node, secret: &[u8], handler: H) -> Arc<Self> {
-        Arc::new(Self { me, secret: Arc::from(secret), handler, out: Mutex::default() })
+        Arc::new(Self {
+            me,
+            secret: Arc::from(secret),
+            handler,
+            sent: Arc::default(),
+            out: Mutex::default(),
+        })
+    }
+
+    /// What this node has sent so far.
+    pub(crate) fn sent(&self) -> &Sent {
+        &self.sent
     }
 
     /// Accepts links of other nodes until the task is dropped.
@@ -125,6 +167,7 @@
             secret: self.secret.clone(),
             addr,
             handler: self.handler.clone(),
+            sent: self.sent.clone(),
         };
         Outgoing { addr, tx, task: tokio::spawn(dialer.run(rx)) }
     }
@@ -153,7 +196,10 @@
         loop {
             let body = timeout(PONG_WITHIN * 2, read(&mut link)).await.map_err(|_| late())??;
             match body {
-                Body::Ping(ping) => write(&mut link, Body::Pong(ping)).await?,
+                Body::Ping(ping) => {
+                    let pong = self.sent.encode(Body::Pong(ping));
+                    link.send(pong).await.map_err(io)?;
+                }
                 body => self.handler.on_message(&from, body),
             }
         }
@@ -165,6 +211,7 @@
     secret: Arc<[u8]>,
     addr: SocketAddr,
     handler: H,
+    sent: Arc<Sent>,
 }
 
 impl<H: Handler> Dialer<H> {
@@ -173,7 +220,7 @@
             match connect(self.addr, &self.me, &self.secret).await {
                 Ok((node, _, link)) => {
                     self.handler.on_open(&node);
-                    if let Err(e) = pump(link, &mut rx).await {
+                    if let Err(e) = pump(link, &mut rx, &self.sent).await {
                         log::info!("peer link to {node} closed: {e}");
                     }
                 }
@@ -211,7 +258,7 @@
 }
 
 /// Sends queued messages and pings until the link fails or a pong is late.
-async fn pump(mut link: Link, rx: &mut mpsc::Receiver<Body>) -> Result<()> {
+async fn pump(mut link: Link, rx: &mut mpsc::Receiver<Body>, sent: &Sent) -> Result<()> {
     let mut ticks = interval(PING_EVERY);
     let mut heard = Instant::now();
     loop {
@@ -219,9 +266,9 @@
             body = rx.recv() => {
                 let Some(body) = body else { return Ok(()) };
                 // Messages that are already queued share one flush.
-                link.feed(encode(body)).await.map_err(io)?;
+                link.feed(sent.encode(body)).await.map_err(io)?;
                 while let Ok(body) = rx.try_recv() {
-                    link.feed(encode(body)).await.map_err(io)?;
+                    link.feed(sent.encode(body)).await.map_err(io)?;
                 }
                 timeout(PONG_WITHIN, flush(&mut link)).await.map_err(|_| late())??;
             }
@@ -234,8 +281,8 @@
                     return Err(late());
                 }
                 let nonce = rand::random();
-                let ping = write(&mut link, Body::Ping(Ping { nonce }));
-                timeout(PONG_WITHIN, ping).await.map_err(|_| late())??;
+                let ping = link.send(sent.encode(Body::Ping(Ping { nonce })));
+                timeout(PONG_WITHIN, ping).await.map_err(|_| late())?.map_err(io)?;
             }
         }
     }
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -117,6 +117,7 @@
     vms: Vec<(Instant, Vec<Vm>)>,
     throttled: u64,
     commits: u64,
+    reads: u64,
 }
 
 struct Inner {
@@ -142,6 +143,7 @@
             vms: Vec::new(),
             throttled: 0,
             commits: 0,
+            reads: 0,
         };
         let weights = Weights::new(spec.weights);
         Self(Arc::new(Inner { spec, wire: Wire::default(), weights, state: Mutex::new(state) }))
@@ -166,6 +168,11 @@
         self.state().commits
     }
 
+    /// Reads of the table that were answered so far; each page of a scan is one.
+    pub fn reads(&self) -> u64 {
+        self.state().reads
+    }
+
     /// Sets the list of machines, which is shown after the lag.
     pub fn set_vms(&self, vms: Vec<Vm>) {
         self.state().vms.push((Instant::now(), vms));
@@ -221,6 +228,7 @@
         match result {
             Ok(answer) => {
                 state.commits += u64::from(write);
+                state.reads += u64::from(!write);
                 json_answer(StatusCode::OK, &answer)
             }
             Err(exception) => json_answer(StatusCode::BAD_REQUEST, &exception.body()),
@@ -273,6 +281,7 @@
                 let state = self.state();
                 let view = json!({
                     "commits": state.commits,
+                    "reads": state.reads,
                     "throttled": state.throttled,
                     "objects": state.store.count(),
                     "loads": self.0.weights.loads(),
