--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -1,6 +1,8 @@
 //! Cost of one placement decision: nanoseconds for rendezvous candidates plus choice over the
 //! endpoints of one cell, by number of adapters and endpoints.
 //!
+//! A second table gives the cost to admit: key digest, key and model lookup, quota.
+//!
 //! `cargo bench --bench decision`. `slice` builds a slice of candidates on the stack per
 //! decision and calls `candidates` and `choose`; `route` is `Cell::route` with `on_reply`.
 
@@ -9,8 +11,12 @@
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use sycamorefork::cell::{Cell, Query};
+use sycamorefork::check::check;
+use sycamorefork::config::Config;
 use sycamorefork::ids::{AdapterRef, Endpoint, Team};
+use sycamorefork::keys;
 use sycamorefork::place::{Candidate, Costs, LoadView, PlaceRequest, Ring, choose};
+use sycamorefork::quota::{Quota, RateSpec, SEATS, Settings, Take};
 use sycamorefork::time::Ms;
 
 const ROUNDS: usize = 200_000;
@@ -40,6 +46,51 @@
             println!("| {adapters} | {endpoints} | {slice:.0} | {route:.0} |");
         }
     }
+    println!("\n| adapters | admit ns |\n|---|---|");
+    for adapters in [1_000, 3_000, 11_000, 33_000] {
+        println!("| {adapters} | {:.0} |", admit(adapters));
+    }
+}
+
+fn config(adapters: usize) -> Config {
+    let mut text = format!(
+        "[[team]]\nname = \"a\"\nrate = 1_000_000_000\nburst = 1_000_000_000\n\
+         [[key]]\nid = \"k\"\nteam = \"a\"\ndigest = \"{}\"\n\
+         [[model]]\nname = \"base\"\ncontext = 8_192\n\
+         [[pool]]\nname = \"engines\"\nmodel = \"base\"\n\
+         [[route]]\nname = \"chat\"\nkind = \"engine\"\npool = \"engines\"\n\
+         [store]\nloads = 3.0\nconcurrent = 2\n",
+        hex::encode(keys::digest("sf_key"))
+    );
+    for n in 0..adapters {
+        text.push_str(&format!(
+            "[[adapter]]\nname = \"adapter-{n:05}\"\nmodel = \"base\"\nteam = \"a\"\n\
+             versions = [\"1\"]\ndefault = \"1\"\n"
+        ));
+    }
+    Config::compile(check("document", &text).document.expect("valid document"), 1, "")
+}
+
+/// Nanoseconds to authenticate, to look the model up, and to take and settle tokens.
+fn admit(adapters: usize) -> f64 {
+    let config = config(adapters);
+    let team = Team::new("a");
+    let mut quota = Quota::new(Settings::default());
+    quota.set_rates(Ms(0), &[(team.clone(), RateSpec::new(1_000_000_000, 1_000_000_000))]);
+    (0..SEATS).for_each(|seat| quota.gain_seat(Ms(0), &team, seat, Ms(0)));
+    let models: Vec<String> = (0..adapters).map(|n| format!("adapter-{n:05}")).collect();
+    let start = Instant::now();
+    for i in 0..ROUNDS {
+        let now = Ms(1000 + i as u64 / 2);
+        let key = config.key(&keys::digest(black_box("sf_key"))).expect("key");
+        // A large step visits adapters in an order that caches do not favour.
+        let model = &models[(i * 7919) % adapters];
+        black_box(config.resolve_model(Some(&key.team), model).expect("model"));
+        if let Take::Granted(reservation) = quota.take(now, &key.team, 500) {
+            quota.settle(now, reservation, 400);
+        }
+    }
+    start.elapsed().as_nanos() as f64 / ROUNDS as f64
 }
 
 fn measure(adapters: usize, endpoints: usize) -> (f64, f64) {
