--- a/src/assign.rs
+++ b/src/assign.rs
@@ -253,7 +253,13 @@
 
     /// Gives up resources that are better placed at a node that has been live for
     /// a while, or that the cell no longer has.
+    ///
+    /// Only directly after a committed renewal: a release without a following claim
+    /// would leave the resource without an owner for the whole of a table outage.
     fn rebalance(&mut self, now: Ms, view: &View, live: &BTreeSet<Node>) {
+        if !self.lease.fresh(now) {
+            return;
+        }
         let steady = self.settings().steady;
         let settled = |n: &Node| {
             n == self.lease.node()
--- a/src/authority.rs
+++ b/src/authority.rs
@@ -143,6 +143,23 @@
         self.owners.held.iter().map(|(r, h)| (r, h.fence))
     }
 
+    /// Whether seats are without a working holder because a node has ended: it has
+    /// not been evicted yet, or was less than `quiet` and the time to claim ago.
+    pub(crate) fn seats_move(&self, now: Ms, quiet: Ms) -> bool {
+        let settings = self.settings();
+        let quiet = quiet + settings.settle + settings.scan + settings.rank;
+        let others = self.nodes.iter().filter(|(n, _)| *n != self.lease.node());
+        let ended = others.map(|(_, k)| match k.row.state {
+            NodeState::Gone => now.since(k.since) < quiet,
+            _ => k.expired(now, settings),
+        });
+        let seat = |r: &Resource| matches!(r, Resource::Seat { .. });
+        let held = self.owners.held.iter().filter(|(r, h)| seat(r) && h.fence > 1);
+        let gained = held.map(|(_, h)| now.since(h.since) < quiet);
+        let free = self.owners.free.keys().any(seat);
+        free || ended.chain(gained).any(|moves| moves)
+    }
+
     /// Whether a graceful shutdown has released everything, lease included.
     pub fn released(&self) -> bool {
         self.left
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -19,7 +19,7 @@
 use crate::gateway::error_event;
 use crate::ids::{AttemptId, Endpoint, RequestId, Team};
 use crate::openai::{ChunkView, Completion};
-use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Stock};
+use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Stock, TAKEOVER};
 use crate::quarantine;
 use crate::serve::{ATTEMPTS_MAX, Answer, Caller, passed};
 use crate::shell::{Measured, Ports, Shell};
@@ -112,6 +112,7 @@
         first: None,
         sent: 0,
         usage: None,
+        ran: false,
     };
     shell.retries.lock().unwrap().on_first(begun);
     if run.call.parsed.stream {
@@ -125,7 +126,12 @@
         };
         let (tx, events) = mpsc::channel(EVENTS);
         let model = run.call.model.clone();
-        tokio::spawn(run.stream(started, tx));
+        // Counted before the request's own count ends, so that a shutdown sees it.
+        let running = shell.enter();
+        tokio::spawn(async move {
+            let _running = running;
+            run.stream(started, tx).await;
+        });
         Ok(Answer::Events { model, events })
     } else {
         tokio::select! {
@@ -145,6 +151,8 @@
     first: Option<Ms>,
     sent: u64,
     usage: Option<Usage>,
+    /// Whether an earlier attempt may have run.
+    ran: bool,
 }
 
 /// A reply whose first frame has arrived.
@@ -158,6 +166,8 @@
 enum Failed {
     /// Another attempt may help.
     Again(Denial, AttemptState),
+    /// The endpoint's owner is changing; nothing was sent.
+    Moving(Denial),
     /// The caller gets this.
     Final(Denial),
     /// The engine's own refusal passes to the caller.
@@ -166,16 +176,33 @@
 
 impl<P: Ports> CompletionRun<P> {
     /// Makes attempts until one has its first frame.
+    ///
+    /// A refusal after an attempt that may have run does not state "not run",
+    /// whatever the last attempt met.
     async fn start(&mut self) -> Result<Result<Started<P>, (StatusCode, Bytes)>, Denial> {
-        for n in 0.. {
+        let started = self.tries().await;
+        started.map_err(|denial| Denial { ran: denial.ran || self.ran, ..denial })
+    }
+
+    async fn tries(&mut self) -> Result<Result<Started<P>, (StatusCode, Bytes)>, Denial> {
+        let patience = self.call.demand.deadline.min(self.shell.now() + TAKEOVER);
+        let mut n = 0;
+        loop {
             let (denial, state) = match self.attempt().await {
                 Ok(started) => return Ok(Ok(started)),
                 Err(Failed::Final(denial)) => return Err(denial),
                 Err(Failed::Pass(status, body)) => return Ok(Err((status, body))),
-                Err(Failed::Again(denial, state)) => (denial, state),
+                Err(Failed::Moving(denial)) if self.shell.now() < patience => {
+                    (denial, AttemptState::Unsent)
+                }
+                Err(Failed::Moving(denial)) => return Err(denial),
+                Err(Failed::Again(denial, state)) => {
+                    n += 1;
+                    (denial, state)
+                }
             };
             let late = self.shell.now() >= self.call.demand.deadline;
-            if n + 1 >= ATTEMPTS_MAX || late {
+            if n >= ATTEMPTS_MAX || late {
                 return Err(denial);
             }
             // A permit that was refused costs the endpoints nothing.
@@ -187,7 +214,6 @@
             let pause = self.shell.pause(&mut self.backoff);
             sleep(pause.std()).await;
         }
-        unreachable!("the loop returns")
     }
 
     async fn attempt(&mut self) -> Result<Started<P>, Failed> {
@@ -199,6 +225,7 @@
         let mut permit = permit.map_err(|refusal| {
             self.excluded.push(endpoint.clone());
             match refusal.passing() {
+                true if refusal.moving() => Failed::Moving(refusal.denial()),
                 true => Failed::Again(refusal.denial(), AttemptState::Unsent),
                 false => Failed::Final(refusal.denial()),
             }
@@ -248,6 +275,7 @@
 
     fn broken(&mut self, mut permit: Permit<P>, why: &str) -> Failed {
         permit.step(Step::Lose);
+        self.ran = true;
         self.excluded.push(permit.endpoint.clone());
         log::warn!(
             "request {} attempt {} on {} failed: {why}",
@@ -331,7 +359,6 @@
     async fn stream(mut self, started: Started<P>, tx: mpsc::Sender<Bytes>) {
         let shell = self.shell.clone();
         let key = self.call.caller.key.clone();
-        let _running = shell.enter();
         let result = tokio::select! {
             result = self.pump(started, &tx) => result,
             () = tx.closed() => return shell.metrics.cancelled(1, "caller"),
--- a/tests/faults_nodes.rs
+++ b/tests/faults_nodes.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
-use deployment::{Deployment, StreamEnd};
+use deployment::{Deployment, StreamEnd, adapter};
+use futures_util::future::join_all;
 use http::Method;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 /// Whether a status shows every endpoint owned by another node than `gone`.
@@ -28,22 +29,22 @@
     sleep(Duration::from_secs(2)).await;
     // The answer of the first call is lost with its node, at whatever point it was.
     for e in d.endpoints.iter().filter(|e| e.role == "service") {
-        d.fault(e.addr, serde_json::json!({"slow": 50.0})).await;
+        d.fault(e.addr, json!({"slow": 50.0})).await;
     }
     let bookings: Vec<String> = (0..20).map(|n| format!("kill-{n}")).collect();
     let first =
         bookings.iter().map(|b| tokio::time::timeout(Duration::from_millis(60), d.book(gone, b)));
-    let _ = futures_util::future::join_all(first).await;
+    let _ = join_all(first).await;
     let kill = Instant::now();
     d.nodes[gone].process.take().unwrap().kill();
     let name = d.nodes[gone].name.clone();
     d.until(rest[0], "takeover", |s| moved(s, &name)).await;
     println!("takeover after a kill: {:?}", kill.elapsed());
     for e in d.endpoints.iter().filter(|e| e.role == "service") {
-        d.fault(e.addr, serde_json::json!({"slow": 1.0})).await;
+        d.fault(e.addr, json!({"slow": 1.0})).await;
     }
-    for booking in &bookings {
-        let again = futures_util::future::join_all(rest.iter().map(|n| d.book(*n, booking))).await;
+    let again = bookings.iter().map(|b| join_all(rest.iter().map(|n| d.book(*n, b))));
+    for (booking, again) in bookings.iter().zip(join_all(again).await) {
         let count = d.booked(booking).await;
         assert!(count <= 1, "{booking} ran {count} times: {again:?}");
         for (code, body) in again {
@@ -104,17 +105,19 @@
         true => drop(d.client(&["drain", "--admin", &d.nodes[gone].admin.to_string()])),
         false => d.nodes[gone].process.as_ref().unwrap().signal("TERM"),
     }
-    let mut seed = 100;
-    loop {
-        // A balancer looks before it sends.
-        let ready = d.send(gone, Method::GET, "/readyz", &[], "").await;
-        if !ready.status.is_success() {
-            break;
+    // A balancer looks before it sends.
+    let ask = json!({"model": adapter(0, 2), "prompt": "x", "max_tokens": 8});
+    let sender = async |_| {
+        let mut count = 0;
+        while d.send(gone, Method::GET, "/readyz", &[], "").await.status.is_success() {
+            let (code, body) = d.post(gone, 0, "/v1/completions", &ask).await;
+            assert_eq!(code, 200, "{body}");
+            count += 1;
         }
-        let report = standin::load::run(d.plan_to(&[gone], 1, 60.0, seed)).await;
-        assert_eq!(report.total.right, report.total.sent, "{report:#?}");
-        seed += 1;
-    }
+        count
+    };
+    let sent: u32 = join_all((0..8).map(sender)).await.iter().sum();
+    println!("{sent} requests to the leaving node until it was not ready");
     sleep(Duration::from_secs(3)).await;
     let reading = async {
         let end = slow.end().await;
