--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -112,6 +112,21 @@
 }
 
 impl Fleet {
+    /// Forgets an owner that has answered that it no longer is.
+    pub(crate) fn forget_owner(&mut self, endpoint: &Endpoint, owner: &Node) {
+        let Some(index) = self.index.get(endpoint) else { return };
+        let row = &mut self.endpoints[*index];
+        if row.owner.as_ref() != Some(owner) {
+            return;
+        }
+        row.owner = None;
+        if let Some(pool) = self.pools.get_mut(&row.pool)
+            && let Ok(at) = pool.members.binary_search(&row.name)
+        {
+            pool.cell.set_unowned(at);
+        }
+    }
+
     /// Adopts the platform's list; owners and load views survive.
     pub(crate) fn set_list(&mut self, me: &str, vms: &[Vm], settings: &Settings) {
         let mut rows: BTreeMap<Endpoint, EndpointRow> = BTreeMap::new();
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -136,6 +136,7 @@
         tokens: u64,
         deadline: Ms,
     ) -> Result<Stock<P>, Denial> {
+        let patience = deadline.min(self.now() + TAKEOVER);
         loop {
             let loan = self.loans.notified();
             match self.with_core(|core, now, out| core.admit(now, team, tokens, out)) {
@@ -144,10 +145,11 @@
                     return Ok(Stock { shell, reservation: Some(reservation), used: 0 });
                 }
                 Admission::Denied(denial) => return Err(*denial),
+                Admission::Moving(denial) if self.now() >= patience => return Err(*denial),
                 Admission::Wait if self.now() >= deadline => {
                     return Err(Denial::new(Reason::Deadline, "the deadline passed"));
                 }
-                Admission::Wait => {
+                Admission::Wait | Admission::Moving(_) => {
                     let _ = timeout(LOAN_WAIT.std(), loan).await;
                 }
             }
@@ -215,7 +217,12 @@
         };
         waiting.answered = true;
         if !reply.granted {
-            self.with_core(|core, _, _| core.answered(attempt));
+            self.with_core(|core, _, _| {
+                core.answered(attempt);
+                if reply.reason == "not_owner" {
+                    core.fleet.forget_owner(endpoint, owner);
+                }
+            });
             return Err(Refusal { reason: reply.reason, after: Ms(reply.retry_after) });
         }
         // Counted from before the request left, so that delays of the network
