Assert invariants in the program; drive cores with random faults

src/invariant.rs has one function per invariant, which returns the violation with its state. They are called at the grant, at the answer, before an order to evict, at each heartbeat's owners, at each attempt's step, before a statement "not run", before a keyed call is sent, when a configuration is adopted, and for the bounds of queues. A violation stops the action, is logged and counted.

tests/fleet drives several cores and their claims over a fake table, fake endpoints and a message queue in simulated time. tests/random.rs runs seeded plans of requests and faults and shrinks a failing one. src/failpoint.rs is a per-thread switch, debug builds only, that breaks a mechanism on purpose.

Fault found: a refusal could say "not run" although an earlier attempt of the same request had been sent. The first attempt was broken; the second found no endpoint or no permit, and its refusal, which is about that attempt only, became the refusal of the request. Ruled out: late answers (the caller was told after the first run) and the attempt's own state (it was "unknown", as it should be). attempt::Tries now notes every attempt, and completions and repeatable service calls say "unknown" once one may have run.

A claim's holder counted as gone on a node that had not read the cell's rows yet; Authority::is_gone asks for a completed scan. The look at the owner of an endpoint is a method of the core, which the shell and the tests share.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, RngExt};
 
 use crate::error::{Error, Result};
+use crate::failpoint::{Failpoint, active};
 use crate::time::Ms;
 
 /// State of one attempt to run a request on an endpoint.
@@ -96,11 +97,30 @@
         match self {
             Self::Unsent | Self::Ended { ran: false } => Ran::No,
             Self::Running | Self::Ended { ran: true } => Ran::Yes,
+            Self::Sent | Self::Unknown if active(Failpoint::FalseNotRun) => Ran::No,
             Self::Sent | Self::Unknown => Ran::Unknown,
         }
     }
 }
 
+/// What the attempts of one request so far allow to be said about it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tries {
+    sent: bool,
+}
+
+impl Tries {
+    /// Notes the last state of an attempt.
+    pub fn add(&mut self, state: &AttemptState) {
+        self.sent |= state.ran() != Ran::No;
+    }
+
+    /// Whether any attempt may have run: then no refusal of the request says "not run".
+    pub fn may_have_run(&self) -> bool {
+        self.sent
+    }
+}
+
 /// Tokens of a retry budget that one retry costs.
 const RETRY_COST: u64 = 1_000_000;
 
--- a/src/authority.rs
+++ b/src/authority.rs
@@ -148,6 +148,13 @@
         self.left
     }
 
+    /// Whether a node is known to have no authority: its row is gone or says so.
+    pub fn is_gone(&self, node: &Node) -> bool {
+        self.scanned
+            && node != self.lease.node()
+            && self.nodes.get(node).is_none_or(|k| k.row.state == NodeState::Gone)
+    }
+
     /// Requests a scan at the next tick, for news from a heartbeat.
     pub fn scan_soon(&mut self, now: Ms) {
         self.scan_next = self.scan_next.min(now);
--- a/src/beat.rs
+++ b/src/beat.rs
@@ -8,6 +8,7 @@
 use crate::fleet::vm_name;
 use crate::generated::peer::{self, frame::Body};
 use crate::ids::{Endpoint, Node};
+use crate::invariant;
 use crate::lease::Level;
 use crate::quarantine::Entry;
 use crate::time::Ms;
@@ -117,7 +118,7 @@
     }
 
     /// Learns from a peer's heartbeat.
-    pub(crate) fn on_heartbeat(
+    pub fn on_heartbeat(
         &mut self,
         now: Ms,
         from: &Node,
@@ -155,6 +156,12 @@
         if load.fence < row.fence {
             return;
         }
+        let known = (row.owner.as_ref(), row.fence);
+        let single = invariant::one_owner(&name, known, (from, load.fence));
+        if !self.holds(single) {
+            return;
+        }
+        let Some(row) = self.fleet.endpoint_mut(&name) else { return };
         if load.fence > row.fence || row.owner.as_ref() != Some(from) {
             row.fence = load.fence;
             row.owner = Some(from.clone());
@@ -184,7 +191,7 @@
     }
 
     /// Forgets what is tied to a node whose link shows another incarnation.
-    pub(crate) fn on_peer(&mut self, node: &Node) {
+    pub fn on_peer(&mut self, node: &Node) {
         let known = self.fleet.peers().get(vm_name(node)).and_then(|p| p.node.clone());
         if let Some(old) = known.filter(|k| k != node) {
             self.stock_views.remove(&old);
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -10,13 +10,16 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use tokio::time::sleep;
 
-use crate::attempt::{AttemptState, Backoff, Step};
-use crate::claim::{Answer as StoredAnswer, Call as ClaimCall, Outcome, body_digest, row_key};
+use crate::attempt::{AttemptState, Backoff, Step, Tries};
+use crate::claim::{
+    Answer as StoredAnswer, Call as ClaimCall, Outcome, Ticket, body_digest, row_key,
+};
 use crate::config::RouteSpec;
 use crate::denial::{Denial, Reason};
 use crate::engine::StartError;
 use crate::entry::Demand;
 use crate::ids::{AttemptId, Endpoint, Node, RequestId, Team};
+use crate::invariant;
 use crate::keyed::{ClaimEvent, Keyed};
 use crate::permit::{BACKOFF, BACKOFF_MAX, Permit};
 use crate::quarantine;
@@ -136,14 +139,22 @@
         }
     }
 
+    /// A refusal after an attempt that may have run does not say "not run".
     async fn tries(&mut self) -> Result<ServiceReply, Denial> {
+        let mut tries = Tries::default();
+        let reply = self.attempts(&mut tries).await;
+        reply.map_err(|denial| Denial { ran: denial.ran || tries.may_have_run(), ..denial })
+    }
+
+    async fn attempts(&mut self, tries: &mut Tries) -> Result<ServiceReply, Denial> {
         for n in 0.. {
             let (endpoint, owner) = self.shell.route(&self.demand, &mut self.excluded).await?;
             let attempt = AttemptId(rand::random());
-            let failed = match self.attempt(attempt, &endpoint, &owner).await {
+            let failed = match self.attempt(attempt, &endpoint, &owner, None).await {
                 Ok(reply) => return Ok(reply),
                 Err(failed) => failed,
             };
+            tries.add(&failed.state);
             self.pause_or_stop(n, failed).await?;
         }
         unreachable!("the loop returns")
@@ -194,7 +205,7 @@
             if !matches!(event, ClaimEvent::Proceed) {
                 return decided(event);
             }
-            let failed = match self.attempt(attempt, &endpoint, &owner).await {
+            let failed = match self.attempt(attempt, &endpoint, &owner, Some(ticket)).await {
                 Ok(reply) => {
                     self.shell.finish_claim(ticket, Outcome::Answer(stored(&reply)));
                     return Ok(whole(reply));
@@ -240,6 +251,7 @@
         attempt: AttemptId,
         endpoint: &Endpoint,
         owner: &Node,
+        ticket: Option<Ticket>,
     ) -> Result<ServiceReply, Failed> {
         let permit = self.shell.permit(&self.demand, attempt, endpoint, owner).await;
         let mut permit = permit.map_err(|refusal| {
@@ -258,6 +270,9 @@
         let Some(service) = self.shell.service(endpoint) else {
             return Err(self.unsent(permit, "the endpoint is no longer listed"));
         };
+        if !self.claimed(attempt, ticket) {
+            return Err(self.unsent(permit, "its claim is not committed"));
+        }
         if !permit.send() {
             return Err(self.unsent(permit, "the permit expired before the call left"));
         }
@@ -277,7 +292,7 @@
                 let message = format!("the service refused the call with status {status}");
                 let denial = Denial::new(Reason::EndpointRefused, message);
                 Err(Failed {
-                    denial: denial.retry_after(Ms::secs(1)),
+                    denial: permit.unrun(denial.retry_after(Ms::secs(1))),
                     state: permit.state,
                     attempt,
                 })
@@ -293,11 +308,20 @@
         }
     }
 
+    /// Whether a keyed call's claim allows its attempt to be sent.
+    fn claimed(&self, attempt: AttemptId, ticket: Option<Ticket>) -> bool {
+        let claims = self.shell.claims.lock().unwrap();
+        let granted = ticket.is_none_or(|t| claims.may_send(t, attempt));
+        drop(claims);
+        self.shell.holds(invariant::claimed(attempt, granted), "claim")
+    }
+
     fn unsent(&mut self, permit: Permit<P>, why: &str) -> Failed {
         self.excluded.push(permit.endpoint.clone());
         let denial = Denial::new(Reason::NoEndpoint, format!("the service was not reached: {why}"));
         let state = AttemptState::Unsent;
-        Failed { denial: denial.retry_after(Ms::secs(1)), state, attempt: permit.attempt }
+        let denial = permit.unrun(denial.retry_after(Ms::secs(1)));
+        Failed { denial, state, attempt: permit.attempt }
     }
 }
 
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -23,6 +23,7 @@
 };
 pub use crate::claimrow::{Answer, CLAIM_PREFIX, ClaimRow, ClaimState, body_digest, row_key};
 use crate::error::{Error, Result};
+use crate::failpoint::{Failpoint, active};
 use crate::ids::{AttemptId, Endpoint, Map, Node, Set};
 use crate::platform::{Commit, Cond, TXN_WRITES, Txn, Write};
 use crate::time::Ms;
@@ -116,7 +117,7 @@
     }
 
     /// Starts a call.
-    pub fn open(&mut self, _now: Ms, call: Call) -> Opened {
+    pub fn open(&mut self, now: Ms, call: Call) -> Opened {
         let key = call.key.clone();
         if let Some(entry) = self.entries.get(&key) {
             let row = &entry.row;
@@ -161,10 +162,24 @@
             size: 0,
         };
         self.entries.insert(key.clone(), entry);
-        self.enqueue(&key);
+        if active(Failpoint::SkipClaim) {
+            self.settled(now, &key);
+        } else {
+            self.enqueue(&key);
+        }
         Opened::Queued(ticket)
     }
 
+    /// Whether the attempt of this call may be sent: its claim is in the table.
+    pub fn may_send(&self, ticket: Ticket, attempt: AttemptId) -> bool {
+        let entry = self.tickets.get(&ticket).and_then(|key| self.entries.get(key));
+        entry.is_some_and(|e| {
+            let call = e.call.as_ref().is_some_and(|w| w.ticket == ticket);
+            let row = e.row.attempt == attempt && matches!(e.known, Known::At(_));
+            call && row && e.phase == Phase::Granted
+        })
+    }
+
     /// Queues the write that the entry needs, or the read that must precede it.
     pub(crate) fn enqueue(&mut self, key: &str) {
         let Some(entry) = self.entries.get_mut(key) else { return };
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -11,13 +11,14 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::attempt::{AttemptState, Backoff, Step};
+use crate::attempt::{AttemptState, Backoff, Step, Tries};
 use crate::config::{Config, ModelTarget, RouteSpec, Serves};
 use crate::denial::{Denial, Reason};
 use crate::engine::{Call, Engine, Frame, Reply, StartError, Usage};
 use crate::entry::Demand;
 use crate::gateway::error_event;
 use crate::ids::{AttemptId, Endpoint, RequestId, Team};
+use crate::invariant;
 use crate::openai::{ChunkView, Completion};
 use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Stock};
 use crate::quarantine;
@@ -108,6 +109,7 @@
         stock,
         excluded: Vec::new(),
         backoff: Backoff::new(BACKOFF, BACKOFF_MAX),
+        tries: Tries::default(),
         begun,
         first: None,
         sent: 0,
@@ -141,6 +143,7 @@
     stock: Stock<P>,
     excluded: Vec<Endpoint>,
     backoff: Backoff,
+    tries: Tries,
     begun: Ms,
     first: Option<Ms>,
     sent: u64,
@@ -166,7 +169,15 @@
 
 impl<P: Ports> CompletionRun<P> {
     /// Makes attempts until one has its first frame.
+    ///
+    /// A refusal after an attempt that may have run does not say "not run", whatever the
+    /// reason of the refusal itself.
     async fn start(&mut self) -> Result<Result<Started<P>, (StatusCode, Bytes)>, Denial> {
+        let started = self.attempts().await;
+        started.map_err(|denial| Denial { ran: denial.ran || self.tries.may_have_run(), ..denial })
+    }
+
+    async fn attempts(&mut self) -> Result<Result<Started<P>, (StatusCode, Bytes)>, Denial> {
         for n in 0.. {
             let (denial, state) = match self.attempt().await {
                 Ok(started) => return Ok(Ok(started)),
@@ -243,11 +254,12 @@
         self.excluded.push(permit.endpoint.clone());
         let denial =
             Denial::new(Reason::NoEndpoint, format!("the endpoint was not reached: {why}"));
-        Failed::Again(denial.retry_after(Ms::secs(1)), AttemptState::Unsent)
+        Failed::Again(permit.unrun(denial.retry_after(Ms::secs(1))), AttemptState::Unsent)
     }
 
     fn broken(&mut self, mut permit: Permit<P>, why: &str) -> Failed {
         permit.step(Step::Lose);
+        self.tries.add(&permit.state);
         self.excluded.push(permit.endpoint.clone());
         log::warn!(
             "request {} attempt {} on {} failed: {why}",
@@ -268,21 +280,15 @@
         }
         let message = format!("the endpoint refused the request with status {status}");
         let denial = Denial::new(Reason::EndpointRefused, message);
-        Failed::Again(denial.retry_after(Ms::secs(1)), permit.state)
+        Failed::Again(permit.unrun(denial.retry_after(Ms::secs(1))), permit.state)
     }
 
     /// Sees that a frame comes from the adapter and version that were asked for.
-    fn check_frame(&self, frame: &Frame) -> Result<(), Denial> {
-        if frame.model == self.call.model {
+    fn check_frame(&self, attempt: AttemptId, frame: &Frame) -> Result<(), Denial> {
+        let checked = invariant::answered(attempt, &self.call.model, &frame.model);
+        if self.shell.holds(checked, "adapter") {
             return Ok(());
         }
-        log::error!(
-            "invariant violated: request {} for {} was answered by {}; answer withheld",
-            self.call.id,
-            self.call.model,
-            frame.model
-        );
-        self.shell.metrics.faults(1, "adapter");
         Err(Denial::unknown(Reason::WrongAdapter, "the answer came from another adapter"))
     }
 
@@ -310,7 +316,7 @@
                 Err((status, body)) => return Ok(passed(status, body)),
             };
             let Some(frame) = first else { continue };
-            self.check_frame(&frame)?;
+            self.check_frame(permit.attempt, &frame)?;
             self.count(&mut permit, &frame);
             if let Some(Err(e)) = reply.frames.next().await {
                 let failed = self.broken(permit, &format!("{e:?}"));
@@ -361,7 +367,7 @@
             };
             let e = match next {
                 Some(Ok(frame)) => {
-                    self.check_frame(&frame)?;
+                    self.check_frame(permit.attempt, &frame)?;
                     self.count(&mut permit, &frame);
                     self.forward(&frame, tx).await;
                     continue;
--- a/src/core.rs
+++ b/src/core.rs
@@ -16,9 +16,11 @@
 use crate::config::Config;
 use crate::engine::EngineState;
 use crate::entry::{Asked, HeldPermit};
+use crate::failpoint::{Failpoint, active};
 use crate::fleet::{Fleet, vm_name};
 use crate::generated::peer::{self, frame::Body};
 use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Node, Set, Team};
+use crate::invariant::{self, Checked};
 use crate::lease::{LeaseSettings, Level};
 use crate::owned::Owned;
 use crate::owner::{AuthorityOut, Order, Resource, View};
@@ -47,7 +49,7 @@
 
 /// What the shell must perform.
 #[derive(Debug)]
-pub(crate) enum Out {
+pub enum Out {
     /// Send a message to the node on that VM.
     Send(String, Body),
     /// Perform an operation of the authority module.
@@ -66,22 +68,22 @@
 
 /// An order to an endpoint.
 #[derive(Clone, Debug)]
-pub(crate) struct EndpointOrder {
+pub struct EndpointOrder {
     /// The endpoint.
-    pub(crate) endpoint: Endpoint,
+    pub endpoint: Endpoint,
     /// The adapter concerned.
-    pub(crate) adapter: AdapterRef,
+    pub adapter: AdapterRef,
     /// Number that the report must carry.
-    pub(crate) epoch: u64,
+    pub epoch: u64,
 }
 
 /// State of one node.
-pub(crate) struct Core {
-    pub(crate) me: Node,
+pub struct Core {
+    pub me: Node,
     pub(crate) settings: Arc<Settings>,
-    pub(crate) config: Option<Arc<Config>>,
-    pub(crate) authority: Authority,
-    pub(crate) quota: Quota,
+    pub config: Option<Arc<Config>>,
+    pub authority: Authority,
+    pub quota: Quota,
     pub(crate) stock_views: Peers,
     pub(crate) quarantine: Quarantine,
     pub(crate) fleet: Fleet,
@@ -99,7 +101,7 @@
     pub(crate) owner_since: Map<Endpoint, (u64, Ms)>,
     pub(crate) beats: u64,
     /// Invariant violations, for the log and the tests.
-    pub(crate) faults: Vec<String>,
+    pub faults: Vec<String>,
     resources: Vec<Resource>,
     next_beat: Ms,
     next_plan: Ms,
@@ -108,7 +110,7 @@
 
 impl Core {
     /// The core of a node that owns nothing and has no configuration.
-    pub(crate) fn new(me: Node, settings: Arc<Settings>, seed: u64) -> Self {
+    pub fn new(me: Node, settings: Arc<Settings>, seed: u64) -> Self {
         let lease = lease_settings(&settings);
         Self {
             authority: Authority::new(me.clone(), lease, seed),
@@ -141,8 +143,12 @@
     }
 
     /// Adopts a configuration with a higher serial than the present one.
-    pub(crate) fn set_config(&mut self, now: Ms, config: Arc<Config>) -> bool {
-        if self.config.as_ref().is_some_and(|c| c.serial() >= config.serial()) {
+    pub fn set_config(&mut self, now: Ms, config: Arc<Config>) -> bool {
+        let present = self.config.as_ref().map(|c| c.serial());
+        if present.is_some_and(|p| p >= config.serial()) && !active(Failpoint::LowerSerial) {
+            return false;
+        }
+        if !self.holds(invariant::serial(present, config.serial())) {
             return false;
         }
         let mut rates: Vec<(Team, RateSpec)> = config
@@ -166,7 +172,7 @@
     }
 
     /// Adopts the platform's list.
-    pub(crate) fn set_vms(&mut self, now: Ms, vms: &[Vm], out: &mut Vec<Out>) {
+    pub fn set_vms(&mut self, now: Ms, vms: &[Vm], out: &mut Vec<Out>) {
         let settings = self.settings.clone();
         self.fleet.set_list(&settings.node, vms, &settings);
         self.list_resources();
@@ -197,7 +203,7 @@
     }
 
     /// Advances all systems to `now`.
-    pub(crate) fn tick(&mut self, now: Ms, out: &mut Vec<Out>) {
+    pub fn tick(&mut self, now: Ms, out: &mut Vec<Out>) {
         self.tick_authority(now, out);
         self.tick_quota(now, out);
         self.tick_owned(now, out);
@@ -227,7 +233,7 @@
     }
 
     /// Passes the authority module's outputs on, after an input to it.
-    pub(crate) fn drain_authority(&mut self, now: Ms, out: &mut Vec<Out>) {
+    pub fn drain_authority(&mut self, now: Ms, out: &mut Vec<Out>) {
         let mut outs = Vec::new();
         self.authority.drain(&mut outs);
         self.absorb_authority(now, outs, out);
@@ -318,6 +324,16 @@
                 for fault in owned.sched.take_faults() {
                     self.faults.push(fault.to_string());
                 }
+                let (spec, view) = (owned.sched.spec(), owned.sched.load_view(now));
+                let queued = view.queued as usize;
+                let most = spec.queue + spec.batch;
+                let queue = invariant::bounded("queue", name.as_str(), queued, spec.queue);
+                let jobs = invariant::bounded("jobs", name.as_str(), owned.jobs.len(), most);
+                for checked in [queue, jobs] {
+                    if let Err(violation) = checked {
+                        self.faults.push(violation.to_string());
+                    }
+                }
             }
             for (node, ask) in gate.into_asks() {
                 out.push(Out::Send(
@@ -329,14 +345,38 @@
         }
     }
 
+    /// Notes the violation of an invariant; `false` if there is one.
+    pub(crate) fn holds(&mut self, checked: Checked) -> bool {
+        checked.map_err(|violation| self.faults.push(violation.to_string())).is_ok()
+    }
+
     /// Checks an order directly before it leaves, and gives its fence.
-    pub(crate) fn order_fence(&self, now: Ms, endpoint: &Endpoint, order: Order) -> Option<u64> {
+    pub fn order_fence(&self, now: Ms, endpoint: &Endpoint, order: Order) -> Option<u64> {
+        if active(Failpoint::IgnoreFence) {
+            return self.owned.get(endpoint).map(|o| o.fence);
+        }
         let row = self.fleet.endpoint(endpoint)?;
         self.authority.check_order(now, &row.resource(), order).ok()
     }
 
+    /// Checks an order to evict directly before it leaves, and gives its fence.
+    ///
+    /// An order of an earlier epoch is dropped, because the endpoint's slots may have
+    /// changed since.
+    pub fn evict_fence(&mut self, now: Ms, order: &EndpointOrder) -> Option<u64> {
+        let owned = self.owned.get(&order.endpoint)?;
+        if owned.sched.epoch() != order.epoch {
+            return None;
+        }
+        let pins = owned.sched.slots().pins(&order.adapter);
+        if !self.holds(invariant::evictable(&order.endpoint, &order.adapter, pins)) {
+            return None;
+        }
+        self.order_fence(now, &order.endpoint, Order::Evict)
+    }
+
     /// Handles the endpoint's own state; `None` for a plain service that answers.
-    pub(crate) fn on_state(
+    pub fn on_state(
         &mut self,
         now: Ms,
         endpoint: &Endpoint,
@@ -376,13 +416,13 @@
     }
 
     /// Starts a graceful shutdown.
-    pub(crate) fn drain(&mut self, now: Ms) {
+    pub fn drain(&mut self, now: Ms) {
         self.draining = true;
         self.next_beat = now;
     }
 
     /// Gives up everything that the node owns, once no request needs it.
-    pub(crate) fn release(&mut self, now: Ms, out: &mut Vec<Out>) {
+    pub fn release(&mut self, now: Ms, out: &mut Vec<Out>) {
         self.authority.release_all(now);
         self.drain_authority(now, out);
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,11 +13,11 @@
 
 /// A permit that this entry node uses.
 #[derive(Clone, Debug)]
-pub(crate) struct HeldPermit {
+pub struct HeldPermit {
     /// The endpoint.
-    pub(crate) endpoint: Endpoint,
+    pub endpoint: Endpoint,
     /// The adapter that is pinned; none for base models and services.
-    pub(crate) adapter: Option<AdapterRef>,
+    pub adapter: Option<AdapterRef>,
 }
 
 /// Requests of this entry node that wait for a permit, counted by endpoint and team.
@@ -48,30 +48,30 @@
 
 /// What a request needs of an endpoint.
 #[derive(Clone, Debug)]
-pub(crate) struct Demand {
+pub struct Demand {
     /// The request.
-    pub(crate) request: RequestId,
+    pub request: RequestId,
     /// Team whose rate it uses.
-    pub(crate) team: Team,
+    pub team: Team,
     /// Pool that serves it.
-    pub(crate) pool: std::sync::Arc<str>,
+    pub pool: std::sync::Arc<str>,
     /// Adapter and version.
-    pub(crate) adapter: Option<AdapterRef>,
+    pub adapter: Option<AdapterRef>,
     /// Priority class.
-    pub(crate) kind: u8,
+    pub kind: u8,
     /// Prompt plus maximum output.
-    pub(crate) tokens: u64,
+    pub tokens: u64,
     /// Fingerprint of team, adapter and body.
-    pub(crate) fingerprint: u64,
+    pub fingerprint: u64,
     /// Whether a second run is harmless.
-    pub(crate) repeatable: bool,
+    pub repeatable: bool,
     /// Instant after which the answer is useless.
-    pub(crate) deadline: Ms,
+    pub deadline: Ms,
 }
 
 /// Result of an attempt to admit a request.
 #[derive(Debug)]
-pub(crate) enum Admission {
+pub enum Admission {
     /// The tokens are reserved.
     Granted(Reservation),
     /// Loans are on their way; try again when they arrive.
@@ -82,13 +82,7 @@
 
 impl Core {
     /// Takes tokens out of the team's quota, asking peers for loans if need be.
-    pub(crate) fn admit(
-        &mut self,
-        now: Ms,
-        team: &Team,
-        tokens: u64,
-        out: &mut Vec<Out>,
-    ) -> Admission {
+    pub fn admit(&mut self, now: Ms, team: &Team, tokens: u64, out: &mut Vec<Out>) -> Admission {
         match self.quota.take(now, team, tokens) {
             Take::Granted(reservation) => Admission::Granted(reservation),
             Take::Borrow => {
@@ -139,7 +133,7 @@
     ///
     /// # Errors
     /// Says why no endpoint can be used, with the number of candidates seen.
-    pub(crate) fn route(
+    pub fn route(
         &mut self,
         now: Ms,
         demand: &Demand,
@@ -182,8 +176,13 @@
         Ok((name, owner.ok_or_else(|| none(candidates.len()))?))
     }
 
+    /// The owner of an endpoint, unless it is silent.
+    pub fn live_owner(&self, now: Ms, endpoint: &Endpoint) -> Option<&Node> {
+        self.fleet.endpoint(endpoint)?.live_owner(now)
+    }
+
     /// Asks the owner for a permit.
-    pub(crate) fn ask_permit(
+    pub fn ask_permit(
         &mut self,
         now: Ms,
         attempt: AttemptId,
@@ -219,19 +218,13 @@
     }
 
     /// Notes a permit in use, so that a new owner can be told of it.
-    pub(crate) fn hold(&mut self, attempt: AttemptId, permit: HeldPermit) {
+    pub fn hold(&mut self, attempt: AttemptId, permit: HeldPermit) {
         self.asked.remove(attempt);
         self.held.insert(attempt, permit);
     }
 
     /// Withdraws a request for a permit.
-    pub(crate) fn cancel_permit(
-        &mut self,
-        now: Ms,
-        attempt: AttemptId,
-        owner: &Node,
-        out: &mut Vec<Out>,
-    ) {
+    pub fn cancel_permit(&mut self, now: Ms, attempt: AttemptId, owner: &Node, out: &mut Vec<Out>) {
         self.asked.remove(attempt);
         let cancel = peer::PermitCancel { attempt: wire::attempt_bytes(attempt) };
         match *owner == self.me {
@@ -241,7 +234,7 @@
     }
 
     /// Reports the end of an attempt to the endpoint's present owner.
-    pub(crate) fn end_permit(
+    pub fn end_permit(
         &mut self,
         now: Ms,
         attempt: AttemptId,
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -4,6 +4,7 @@
 use crate::fleet::vm_name;
 use crate::generated::peer::{self, frame::Body};
 use crate::ids::{AttemptId, Endpoint, Node, Team};
+use crate::invariant;
 use crate::owned::JobRow;
 use crate::owner::Order;
 use crate::quarantine::QuarantineOut;
@@ -20,7 +21,7 @@
 
 /// How an attempt ended, as its entry node reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Outcome {
+pub enum Outcome {
     /// The answer is complete.
     Ended,
     /// The endpoint refused the request without running it.
@@ -116,7 +117,7 @@
 
 impl Core {
     /// Handles a request for a permit from an entry node, or from this node itself.
-    pub(crate) fn on_permit_request(
+    pub fn on_permit_request(
         &mut self,
         now: Ms,
         from: &Node,
@@ -145,6 +146,8 @@
             arrived: now,
             fingerprint: req.fingerprint,
             order,
+            team: job.team.clone(),
+            adapter: job.adapter.clone(),
             granted: false,
         };
         self.with_owned(now, &endpoint, out, |owned, outs| owned.submit(now, job, row, outs));
@@ -169,7 +172,7 @@
     }
 
     /// Handles the reported end of an attempt.
-    pub(crate) fn on_permit_end(&mut self, now: Ms, end: &peer::PermitEnd, out: &mut Vec<Out>) {
+    pub fn on_permit_end(&mut self, now: Ms, end: &peer::PermitEnd, out: &mut Vec<Out>) {
         let Some(attempt) = wire::attempt(&end.attempt) else { return };
         let outcome = Outcome::from_wire(end.outcome);
         let found = self.owned.iter().find(|(_, o)| o.jobs.contains_key(&attempt));
@@ -188,7 +191,7 @@
     }
 
     /// Withdraws a request for a permit that has not been answered.
-    pub(crate) fn on_permit_cancel(&mut self, now: Ms, cancel: &peer::PermitCancel) {
+    pub fn on_permit_cancel(&mut self, now: Ms, cancel: &peer::PermitCancel) {
         let Some(attempt) = wire::attempt(&cancel.attempt) else { return };
         for owned in self.owned.values_mut() {
             owned.cancel(now, attempt);
@@ -238,6 +241,13 @@
             let reply = refusal(attempt, endpoint, "no_authority", Ms(500));
             return self.reply(&entry, attempt, reply, out);
         };
+        if let Err(reason) = self.check_grant(endpoint, attempt) {
+            self.with_owned(now, endpoint, out, |owned, outs| {
+                owned.end(now, attempt, 0, false, outs);
+            });
+            let reply = refusal(attempt, endpoint, reason, Ms(500));
+            return self.reply(&entry, attempt, reply, out);
+        }
         if let Some(row) = self.owned.get_mut(endpoint).and_then(|o| o.jobs.get_mut(&attempt)) {
             row.granted = true;
         }
@@ -253,6 +263,23 @@
         self.reply(&entry, attempt, reply, out);
     }
 
+    /// Checks the invariants of a grant before its permit leaves.
+    fn check_grant(&mut self, endpoint: &Endpoint, attempt: AttemptId) -> Result<(), &'static str> {
+        let Some(owned) = self.owned.get(endpoint) else { return Err("not_owner") };
+        let Some(row) = owned.jobs.get(&attempt) else { return Err("not_owner") };
+        let leaving = self.fleet.endpoint(endpoint).is_some_and(|e| e.leaving);
+        let pinned = owned.sched.slots().pinned(attempt);
+        let adapter = invariant::pinned(attempt, row.adapter.as_ref(), pinned);
+        let team = invariant::team(attempt, &row.team, owned.sched.team(attempt));
+        if !self.holds(invariant::staying(attempt, endpoint, leaving)) {
+            return Err("endpoint_leaving");
+        }
+        match (self.holds(adapter), self.holds(team)) {
+            (true, true) => Ok(()),
+            _ => Err("invariant"),
+        }
+    }
+
     /// Sends a reply to the entry node, which may be this node.
     pub(crate) fn reply(
         &self,
@@ -270,13 +297,7 @@
     }
 
     /// Records a finished load.
-    pub(crate) fn on_loaded(
-        &mut self,
-        now: Ms,
-        order: &EndpointOrder,
-        done: bool,
-        out: &mut Vec<Out>,
-    ) {
+    pub fn on_loaded(&mut self, now: Ms, order: &EndpointOrder, done: bool, out: &mut Vec<Out>) {
         if let Some(reservation) = self.load_permits.pop() {
             self.quota.settle(now, reservation, 1);
         }
@@ -287,13 +308,7 @@
     }
 
     /// Records a finished eviction.
-    pub(crate) fn on_evicted(
-        &mut self,
-        now: Ms,
-        order: &EndpointOrder,
-        done: bool,
-        out: &mut Vec<Out>,
-    ) {
+    pub fn on_evicted(&mut self, now: Ms, order: &EndpointOrder, done: bool, out: &mut Vec<Out>) {
         self.with_owned(now, &order.endpoint, out, |owned, outs| {
             owned.sched.on_evicted(now, &order.adapter, order.epoch, done, outs);
         });
--- a/src/keyed.rs
+++ b/src/keyed.rs
@@ -8,7 +8,6 @@
 use crate::claim::{Answer, Call, ClaimOut, Opened, Outcome, Status, Ticket};
 use crate::error::Error;
 use crate::ids::{AttemptId, Endpoint, Node};
-use crate::lease::NodeState;
 use crate::platform::{Commit, Table, Txn};
 use crate::service::Service;
 use crate::shell::{Ports, Shell};
@@ -191,11 +190,7 @@
         let watched: Vec<Node> = self.watched.lock().unwrap().iter().cloned().collect();
         let gone: Vec<Node> = {
             let core = self.core.lock().unwrap();
-            let nodes = &core.authority.nodes;
-            let ended = |n: &&Node| {
-                nodes.get(*n).is_none_or(|k| k.row.state == NodeState::Gone) && **n != core.me
-            };
-            watched.iter().filter(ended).cloned().collect()
+            watched.iter().filter(|n| core.authority.is_gone(n)).cloned().collect()
         };
         let now = self.now();
         for node in gone {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,16 +23,20 @@
 mod commands;
 mod completion;
 pub mod config;
-mod core;
+#[doc(hidden)]
+pub mod core;
 pub mod demo;
 pub mod denial;
 pub mod diff;
 pub mod document;
 pub mod dynamo;
 pub mod engine;
-mod entry;
+#[doc(hidden)]
+pub mod entry;
 pub mod error;
 pub mod evidence;
+#[doc(hidden)]
+pub mod failpoint;
 pub mod faulty;
 pub mod fields;
 pub mod finding;
@@ -41,10 +45,12 @@
 mod gateway;
 #[doc(hidden)]
 pub mod generated;
-mod grant;
+#[doc(hidden)]
+pub mod grant;
 mod help;
 pub mod http;
 pub mod ids;
+pub mod invariant;
 mod keyed;
 pub mod keys;
 pub mod lease;
@@ -88,7 +94,8 @@
 pub mod takeover;
 pub mod time;
 pub mod vmlist;
-mod wire;
+#[doc(hidden)]
+pub mod wire;
 pub mod withdraw;
 
 pub use crate::error::{Category, Error, Place, Result};
--- a/src/owned.rs
+++ b/src/owned.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use crate::engine::EngineState;
-use crate::ids::{AttemptId, Node};
+use crate::ids::{AdapterRef, AttemptId, Node, Team};
 use crate::owner::Order;
 use crate::queue::Job;
 use crate::sched::{EndpointSpec, Sched, SchedOut};
@@ -26,6 +26,10 @@
     pub(crate) arrived: Ms,
     /// Fingerprint of the request.
     pub(crate) fingerprint: u64,
+    /// Team of the request.
+    pub(crate) team: Team,
+    /// Adapter that the request asks for.
+    pub(crate) adapter: Option<AdapterRef>,
     /// Order that the permit allows.
     pub(crate) order: Order,
     /// Whether the permit was given.
@@ -42,7 +46,7 @@
     /// Jobs by attempt.
     pub(crate) jobs: BTreeMap<AttemptId, JobRow>,
     /// Permits of a former owner that entry nodes announced before the state was read.
-    pub(crate) announced: Vec<(AttemptId, Option<crate::ids::AdapterRef>)>,
+    pub(crate) announced: Vec<(AttemptId, Option<AdapterRef>)>,
     /// Next state query.
     pub(crate) next_poll: Ms,
     /// Whether a state query is under way.
@@ -170,12 +174,7 @@
     }
 
     /// Adopts permits that a former owner gave.
-    pub(crate) fn announce(
-        &mut self,
-        now: Ms,
-        attempt: AttemptId,
-        adapter: Option<crate::ids::AdapterRef>,
-    ) {
+    pub(crate) fn announce(&mut self, now: Ms, attempt: AttemptId, adapter: Option<AdapterRef>) {
         if self.jobs.contains_key(&attempt) || self.announced.iter().any(|(a, _)| *a == attempt) {
             return;
         }
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -12,6 +12,7 @@
 use crate::entry::{Admission, Demand, HeldPermit};
 use crate::grant::Outcome;
 use crate::ids::{AttemptId, Endpoint, Node, Team};
+use crate::invariant::{self, Checked};
 use crate::quota::Reservation;
 use crate::shell::{Ports, Shell};
 use crate::time::Ms;
@@ -47,11 +48,18 @@
 }
 
 impl<P: Ports> Permit<P> {
-    /// Applies a step; an illegal one is logged as a violated invariant.
+    /// Applies a step; an illegal one is reported as a violated invariant.
     pub(crate) fn step(&mut self, step: Step) {
-        if let Err(e) = self.state.apply(step) {
-            log::error!("invariant violated: {e}");
-            self.shell.metrics.faults(1, "attempt");
+        let checked = invariant::step(self.attempt, &mut self.state, step);
+        self.shell.holds(checked, "attempt");
+    }
+
+    /// A refusal after this attempt; it says "not run" only if the attempt allows that.
+    pub(crate) fn unrun(&self, denial: Denial) -> Denial {
+        let checked = invariant::not_run(self.attempt, &self.state);
+        match self.shell.holds(checked, "attempt") {
+            true => denial,
+            false => Denial { ran: true, ..denial },
         }
     }
 
@@ -145,6 +153,15 @@
         }
     }
 
+    /// Logs and counts the violation of an invariant; `false` if there is one.
+    pub(crate) fn holds(&self, checked: Checked, part: &str) -> bool {
+        if let Err(violation) = &checked {
+            log::error!("invariant violated: {violation}");
+            self.metrics.faults(1, part);
+        }
+        checked.is_ok()
+    }
+
     pub(crate) fn check_fingerprint(&self, fp: u64) -> Result<(), Denial> {
         let now = self.now();
         let core = self.core.lock().unwrap();
@@ -205,6 +222,9 @@
             self.with_core(|core, _, _| core.asked.remove(attempt));
             return Err(Refusal { reason: reply.reason, after: Ms(reply.retry_after) });
         }
+        if !self.holds(invariant::permitted(attempt, endpoint, &reply.endpoint), "permit") {
+            return Err(lost);
+        }
         // Counted from before the request left, so that delays of the network
         // shorten the permit and never lengthen it.
         let until = sent + Ms(reply.held) + Ms(reply.valid);
@@ -228,8 +248,7 @@
             sleep(ROUTE_PAUSE.std()).await;
             let now = self.now();
             let core = self.core.lock().unwrap();
-            let present = core.fleet.endpoint(endpoint).and_then(|e| e.live_owner(now));
-            if present != Some(owner) {
+            if core.live_owner(now, endpoint) != Some(owner) {
                 return;
             }
         }
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -15,6 +15,7 @@
 
 use crate::bucket::{Borrowed, Bucket, Lent, MICRO, Share};
 pub use crate::bucket::{RateSpec, SEATS, SHARES};
+use crate::failpoint::{Failpoint, active};
 use crate::ids::{Map, Node, Team};
 pub use crate::loan::{Level, Loan, LoanAsk, Peers, Settings};
 use crate::time::Ms;
@@ -422,7 +423,9 @@
         let scarce = now < entry.scarce;
         let spare = spare(bucket, now);
         let stock = ask.stock.min(spare);
-        bucket.stock -= stock as i64;
+        if !active(Failpoint::DoubleLoan) {
+            bucket.stock -= stock as i64;
+        }
         if stock > 0 || share != Share::default() {
             let (to, id, flight) = (from.clone(), ask.id, stock);
             bucket.lent.push(Lent { to, id, end: None, share, flight });
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use crate::error::Error;
+use crate::failpoint::{Failpoint, active};
 use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Set, Team};
 pub use crate::loads::LoadGate;
 use crate::loads::{Demand, LoadShare};
@@ -362,6 +363,9 @@
 
     /// Refuses all queued jobs and grants nothing more.
     pub fn set_leaving(&mut self, _now: Ms, out: &mut Vec<SchedOut>) {
+        if active(Failpoint::GrantLeaving) {
+            return;
+        }
         self.leaving = true;
         self.refuse_all(RefuseReason::Leaving, Ms(0), out);
     }
@@ -422,6 +426,11 @@
         &self.slots
     }
 
+    /// Team that a running attempt is charged to; none for a former owner's permit.
+    pub fn team(&self, attempt: AttemptId) -> Option<&Team> {
+        self.running.get(&attempt)?.team.as_ref()
+    }
+
     /// Attempts that run here, in order.
     pub fn running(&self) -> impl Iterator<Item = AttemptId> {
         self.running.keys().copied()
@@ -523,6 +532,7 @@
             let Some(job) = self.queue.pop(now, free) else { return };
             let suspect = self.suspects.contains(&job.fingerprint);
             if let Some(adapter) = &job.adapter
+                && !active(Failpoint::SkipPin)
                 && let Err(fault) = self.slots.pin(now, job.attempt, adapter)
             {
                 self.faults.push(fault);
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -390,6 +390,12 @@
         core.order_fence(self.now(), endpoint, order)
     }
 
+    fn evict_fence(&self, order: &EndpointOrder) -> Option<u64> {
+        let mut core = self.core.lock().unwrap();
+        let now = self.now();
+        core.evict_fence(now, order)
+    }
+
     fn on_fenced(self: &Arc<Self>, endpoint: &Endpoint, fence: u64) {
         log::warn!("endpoint {endpoint} refused fence {fence}: another node owns it");
         self.with_core(|core, now, out| {
@@ -423,8 +429,7 @@
 
     async fn evict(self: Arc<Self>, order: EndpointOrder) {
         self.metrics.evictions(1);
-        let result = match (self.engine(&order.endpoint), self.fence(&order.endpoint, Order::Evict))
-        {
+        let result = match (self.engine(&order.endpoint), self.evict_fence(&order)) {
             (Some(engine), Some(fence)) => {
                 let result = engine.unload(fence, &order.adapter).await;
                 if result == Err(OrderError::Fenced) {
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -413,6 +413,11 @@
         self.table.get(adapter).map_or(0, |s| s.pins)
     }
 
+    /// Adapter that an attempt pins.
+    pub fn pinned(&self, attempt: AttemptId) -> Option<&AdapterRef> {
+        self.pins.get(&attempt).map(|p| &p.adapter)
+    }
+
     /// Running attempts whose adapter no entry node has named yet. While there is one, no
     /// adapter is evicted.
     pub fn unknown(&self) -> usize {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -109,7 +109,7 @@
 }
 
 /// A request for a loan from the wire.
-pub(crate) fn ask_from(a: &peer::LoanAsk) -> LoanAsk {
+pub fn ask_from(a: &peer::LoanAsk) -> LoanAsk {
     LoanAsk {
         team: Team::new(&a.team),
         id: a.id,
@@ -123,7 +123,7 @@
 }
 
 /// A loan on the wire.
-pub(crate) fn loan(l: &Loan) -> peer::Loan {
+pub fn loan(l: &Loan) -> peer::Loan {
     peer::Loan {
         team: l.team.to_string(),
         id: l.id,
@@ -137,7 +137,7 @@
 }
 
 /// A loan from the wire.
-pub(crate) fn loan_from(l: &peer::Loan) -> Loan {
+pub fn loan_from(l: &peer::Loan) -> Loan {
     Loan {
         team: Team::new(&l.team),
         id: l.id,
--- /dev/null
+++ b/tests/fleet/fault.rs
@@ -0,0 +1,108 @@
+//! Faults, and the steps at which they are brought about.
+
+use super::{Ev, World};
+
+/// What goes wrong. Faults with a duration end after the one that is injected with them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    Kill,
+    CutTable,
+    CutPeers,
+    Freeze,
+    Silent,
+    SlowTable,
+    Outage,
+    ObjectsDown,
+    LostAnswer,
+    LostOrder,
+    Race,
+    FailLoad,
+    Cold,
+    Poison,
+    Withdraw,
+    Leave,
+}
+
+/// Steps at which a fault can be brought about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    Admit,
+    Route,
+    Wait,
+    Granted,
+    Sent,
+    Streaming,
+    Ended,
+    Ordered,
+    Loading,
+    Loaded,
+    Evicting,
+    Expired,
+    ClaimSent,
+    Claimed,
+    Settling,
+    Put,
+    Head,
+    Fetched,
+    Adopted,
+    Draining,
+    Released,
+}
+
+impl World {
+    /// Notes that a step was passed; brings the armed fault about.
+    pub(super) fn pass(&mut self, step: Step, node: usize, endpoint: usize) {
+        *self.steps.entry(step).or_default() += 1;
+        if let Some((at, fault, ms)) = self.arm
+            && at == step
+        {
+            self.arm = None;
+            self.brought += 1;
+            self.inject(fault, node, endpoint, ms);
+        }
+    }
+
+    pub fn inject(&mut self, fault: Fault, node: usize, e: usize, ms: u64) {
+        let (end, endpoint) = (self.now + ms, &mut self.endpoints[e]);
+        let member = &mut self.members[node];
+        match fault {
+            Fault::Kill if member.alive => {
+                self.kill(node);
+                // The platform replaces the VM; its process starts anew.
+                let at = (self.now + ms, self.next());
+                self.events.insert(at, Ev::Fault(Fault::Kill, node, e, 0));
+            }
+            Fault::Kill => self.start(node),
+            Fault::CutTable => member.no_table = end,
+            Fault::CutPeers => member.no_peers = end,
+            Fault::Freeze => member.frozen = end,
+            Fault::Silent => endpoint.silent = end,
+            Fault::SlowTable => self.slow = end,
+            Fault::Outage => self.outage = end,
+            Fault::ObjectsDown => self.no_objects = end,
+            Fault::LostAnswer => self.lose_answers += 2,
+            Fault::LostOrder => endpoint.lose += 1,
+            Fault::Race => {
+                self.configure(false);
+                self.configure(false);
+            }
+            Fault::FailLoad => endpoint.fail += 1,
+            Fault::Cold => self.crash(e, ms),
+            Fault::Poison => self.poison = true,
+            Fault::Withdraw => self.configure(true),
+            Fault::Leave => {
+                let name = endpoint.name.clone();
+                endpoint.left.get_or_insert(self.now);
+                if let Some(vm) = self.vms.iter_mut().find(|v| v.name == name.as_str()) {
+                    vm.leaving = true;
+                }
+            }
+        }
+    }
+
+    /// Brings a fault about later.
+    pub fn later(&mut self, delay: u64, fault: Fault, node: usize, e: usize, ms: u64) {
+        let at = (self.now + delay, self.next());
+        self.events.insert(at, Ev::Fault(fault, node, e, ms));
+    }
+}
--- /dev/null
+++ b/tests/random.rs
@@ -0,0 +1,201 @@
+//! Randomised runs over inputs, faults and pairs of faults.
+//!
+//! `SYCAMOREFORK_RUNS` sets the number of runs and `SYCAMOREFORK_SEED` the seed; a failure
+//! prints the seed and the smallest plan that still fails.
+
+mod fleet;
+
+use fleet::{End, Fault, Spec, World};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+use sycamorefork::ids::AdapterRef;
+
+const SEED: u64 = 0x5eed_0f1e;
+/// Runs of the normal test; about a minute in a debug build.
+const RUNS: u64 = 24;
+/// Time in which requests and faults arrive, in milliseconds.
+const SPAN: u64 = 15_000;
+/// Time after the last fault within which the fleet serves again.
+const HEAL: u64 = 45_000;
+
+const FAULTS: [Fault; 16] = [
+    Fault::Kill,
+    Fault::CutTable,
+    Fault::CutPeers,
+    Fault::Freeze,
+    Fault::Silent,
+    Fault::SlowTable,
+    Fault::Outage,
+    Fault::ObjectsDown,
+    Fault::LostAnswer,
+    Fault::LostOrder,
+    Fault::Race,
+    Fault::FailLoad,
+    Fault::Cold,
+    Fault::Poison,
+    Fault::Withdraw,
+    Fault::Leave,
+];
+
+/// One fault: when, which, where and for how long.
+#[derive(Clone, Debug)]
+struct Hit {
+    at: u64,
+    fault: Fault,
+    node: usize,
+    endpoint: usize,
+    ms: u64,
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+struct Plan {
+    seed: u64,
+    requests: usize,
+    hits: Vec<Hit>,
+    drains: bool,
+}
+
+fn pick(g: &mut Gen, below: u64) -> u64 {
+    u64::arbitrary(g) % below
+}
+
+impl Arbitrary for Hit {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let fault = *g.choose(&FAULTS).unwrap();
+        // Long enough for a takeover, or short enough to go unnoticed by the others.
+        let ms = if bool::arbitrary(g) { pick(g, 1_500) + 1 } else { pick(g, 9_000) + 3_000 };
+        let at = pick(g, SPAN);
+        Self { at, fault, node: pick(g, 3) as usize, endpoint: pick(g, 5) as usize, ms }
+    }
+}
+
+impl Arbitrary for Plan {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut hits: Vec<Hit> = (0..pick(g, 5)).map(|_| Hit::arbitrary(g)).collect();
+        // Half of the runs have a pair of faults close together.
+        if bool::arbitrary(g)
+            && let Some(first) = hits.first().cloned()
+        {
+            hits.push(Hit { at: first.at + pick(g, 600), ..Hit::arbitrary(g) });
+        }
+        let requests = 60 + pick(g, 240) as usize;
+        Self { seed: u64::arbitrary(g), requests, hits, drains: pick(g, 4) == 0 }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let plan = self.clone();
+        let fewer = (0..self.hits.len()).map(move |i| {
+            let mut plan = plan.clone();
+            plan.hits.remove(i);
+            plan
+        });
+        let plan = self.clone();
+        let less = (self.requests > 20).then_some(Self { requests: plan.requests / 2, ..plan });
+        let still = self.drains.then(|| Self { drains: false, ..self.clone() });
+        Box::new(fewer.chain(less).chain(still))
+    }
+}
+
+fn request(world: &mut World) -> Spec {
+    use rand::RngExt;
+    let rng = &mut world.rng;
+    let engine = rng.random_range(0..10) < 6;
+    let team = if rng.random_range(0..3) == 0 { "b" } else { "a" };
+    let adapter = format!("{team}-{}", rng.random_range(0..8u32).min(rng.random_range(0..8)));
+    let key = rng.random_bool(0.7).then(|| rng.random_range(0..60));
+    Spec {
+        node: rng.random_range(0..3),
+        team: if engine { team } else { "a" },
+        adapter: engine.then(|| AdapterRef::new(&adapter, "1")),
+        key: key.filter(|_| !engine),
+        repeatable: engine,
+        tokens: rng.random_range(20..400),
+        patience: rng.random_range(1_000..12_000),
+        poison: engine && rng.random_range(0..150) == 0,
+    }
+}
+
+/// Runs a plan and returns what is wrong.
+fn run(plan: &Plan) -> Vec<String> {
+    use rand::RngExt;
+    let mut world = World::new(plan.seed, 3);
+    for _ in 0..plan.requests {
+        let spec = request(&mut world);
+        let at = world.rng.random_range(0..SPAN);
+        world.arrive(at, spec);
+    }
+    for hit in &plan.hits {
+        world.later(hit.at, hit.fault, hit.node, hit.endpoint, hit.ms);
+    }
+    if plan.drains {
+        world.drain(SPAN / 2, 2);
+    }
+    world.run(SPAN + 12_000);
+    world.run(HEAL);
+    // Every node that serves answers again, on engines and on services.
+    let engines = world.endpoints.iter().filter(|e| e.engine && e.left.is_none()).count();
+    let services = world.endpoints.iter().filter(|e| !e.engine && e.left.is_none()).count();
+    let first = world.reqs.len();
+    for node in world.serving() {
+        let adapter = Some(AdapterRef::new("a-9", "1"));
+        let spec = Spec {
+            node,
+            team: "a",
+            adapter,
+            key: None,
+            repeatable: true,
+            tokens: 10,
+            patience: 8_000,
+            poison: false,
+        };
+        if engines > 0 {
+            world.arrive(100, spec.clone());
+        }
+        if services > 0 {
+            world.arrive(
+                100,
+                Spec { adapter: None, key: Some(1_000 + node), repeatable: false, ..spec },
+            );
+        }
+    }
+    world.run(12_000);
+    let mut wrong = std::mem::take(&mut world.violations);
+    if world.serving().is_empty() {
+        wrong.push("no node serves".to_owned());
+    }
+    for (r, req) in world.reqs.iter().enumerate() {
+        if req.end.is_none() {
+            wrong.push(format!("request {r} never ended: {:?}", req.spec));
+        }
+        if r >= first && req.end.is_some_and(|end| end != End::Answered) {
+            wrong.push(format!("request {r} after all faults: {:?} {:?}", req.end, req.spec));
+        }
+    }
+    wrong
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+/// Guards every invariant against single faults and pairs of faults under mixed requests.
+#[test]
+fn invariants_hold_under_random_faults() {
+    let seed = number("SYCAMOREFORK_SEED", SEED);
+    let runs = number("SYCAMOREFORK_RUNS", RUNS);
+    println!("seed {seed}, {runs} runs");
+    let property = |plan: Plan| {
+        let wrong = run(&plan);
+        match wrong.is_empty() {
+            true => TestResult::passed(),
+            false => TestResult::error(format!("{plan:?}: {:#?}", &wrong[..wrong.len().min(8)])),
+        }
+    };
+    let rng = Gen::from_size_and_seed(100, seed);
+    QuickCheck::new()
+        .rng(rng)
+        .tests(runs)
+        .max_tests(runs)
+        .quickcheck(property as fn(Plan) -> TestResult);
+}
