--- a/src/calls.rs
+++ b/src/calls.rs
@@ -11,12 +11,15 @@
 use tokio::time::sleep;
 
 use crate::attempt::Step;
-use crate::claim::{Answer as StoredAnswer, Call as ClaimCall, Outcome, body_digest, row_key};
+use crate::claim::{
+    Answer as StoredAnswer, Call as ClaimCall, Outcome, Ticket, body_digest, row_key,
+};
 use crate::config::RouteSpec;
 use crate::denial::{Denial, Reason};
 use crate::engine::StartError;
 use crate::entry::Demand;
 use crate::ids::{AttemptId, Endpoint, RequestId, Team};
+use crate::invariant;
 use crate::keyed::{ClaimEvent, Keyed};
 use crate::permit::{Permit, Routed};
 use crate::quarantine;
@@ -135,7 +138,7 @@
             let attempt = AttemptId(rand::random());
             let routed = self.shell.route(attempt, &self.demand, &mut self.excluded).await;
             let routed = routed.map_err(|d| self.retry.deny(d))?;
-            match self.attempt(&routed).await {
+            match self.attempt(&routed, None).await {
                 Ok(reply) => return Ok(reply),
                 Err(failed) => self.retry.again(&self.shell, failed).await?,
             }
@@ -169,7 +172,7 @@
             if !matches!(event, ClaimEvent::Proceed) {
                 return decided(event);
             }
-            let failed = match self.attempt(&routed).await {
+            let failed = match self.attempt(&routed, Some(ticket)).await {
                 Ok(reply) => {
                     self.shell.finish_claim(ticket, Outcome::Answer(stored(&reply)));
                     return Ok(whole(reply));
@@ -209,7 +212,11 @@
         None
     }
 
-    async fn attempt(&mut self, routed: &Routed<P>) -> Result<ServiceReply, Failed> {
+    async fn attempt(
+        &mut self,
+        routed: &Routed<P>,
+        ticket: Option<Ticket>,
+    ) -> Result<ServiceReply, Failed> {
         let (attempt, endpoint) = (routed.attempt, &routed.endpoint);
         let permit = self.shell.permit(&self.demand, routed).await;
         let mut permit = permit.map_err(|refusal| {
@@ -228,6 +235,9 @@
         let Some(service) = self.shell.service(endpoint) else {
             return Err(self.unsent(permit, "the endpoint is no longer listed"));
         };
+        if !self.claimed(attempt, ticket) {
+            return Err(self.unsent(permit, "its claim is not committed"));
+        }
         if !permit.send() {
             return Err(self.unsent(permit, "the permit expired before the call left"));
         }
@@ -246,7 +256,7 @@
                 self.excluded.push(endpoint.clone());
                 let message = format!("the service refused the call with status {status}");
                 let denial = Denial::new(Reason::EndpointRefused, message);
-                let denial = denial.retry_after(Ms::secs(1));
+                let denial = permit.unrun(denial.retry_after(Ms::secs(1)));
                 Err(Failed { denial, state: permit.state, unsettled: false })
             }
             Err(StartError::Unknown(e)) => {
@@ -260,10 +270,18 @@
         }
     }
 
+    /// Whether a keyed call's claim allows its attempt to be sent.
+    fn claimed(&self, attempt: AttemptId, ticket: Option<Ticket>) -> bool {
+        let claims = self.shell.claims.lock().unwrap();
+        let granted = ticket.is_none_or(|t| claims.may_send(t, attempt));
+        drop(claims);
+        self.shell.holds(invariant::claimed(attempt, granted), "claim")
+    }
+
     fn unsent(&mut self, permit: Permit<P>, why: &str) -> Failed {
         self.excluded.push(permit.endpoint.clone());
         let denial = Denial::new(Reason::NoEndpoint, format!("the service was not reached: {why}"));
-        Failed::unsent(denial.retry_after(Ms::secs(1)))
+        Failed::unsent(permit.unrun(denial.retry_after(Ms::secs(1))))
     }
 }
 
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -17,6 +17,7 @@
 use crate::entry::Demand;
 use crate::gateway::error_event;
 use crate::ids::{AttemptId, Endpoint, RequestId, Team};
+use crate::invariant;
 use crate::openai::{ChunkView, Completion};
 use crate::permit::{Permit, Stock};
 use crate::quarantine;
@@ -166,6 +167,9 @@
 
 impl<P: Ports> CompletionRun<P> {
     /// Makes attempts until one has its first frame.
+    ///
+    /// A refusal after an attempt that may have run does not say "not run", whatever the
+    /// reason of the refusal itself.
     async fn start(&mut self) -> Result<Result<Started<P>, (StatusCode, Bytes)>, Denial> {
         loop {
             match self.attempt().await {
@@ -234,7 +238,7 @@
         self.excluded.push(permit.endpoint.clone());
         let denial =
             Denial::new(Reason::NoEndpoint, format!("the endpoint was not reached: {why}"));
-        Failed::unsent(denial.retry_after(Ms::secs(1)))
+        Failed::unsent(permit.unrun(denial.retry_after(Ms::secs(1))))
     }
 
     fn broken(&mut self, mut permit: Permit<P>, why: &str) -> Failed {
@@ -259,21 +263,16 @@
         }
         let message = format!("the endpoint refused the request with status {status}");
         let denial = Denial::new(Reason::EndpointRefused, message).retry_after(Ms::secs(1));
+        let denial = permit.unrun(denial);
         Ended::Failed(Failed { denial, state: permit.state, unsettled: false })
     }
 
     /// Sees that a frame comes from the adapter and version that were asked for.
-    fn check_frame(&self, frame: &Frame) -> Result<(), Denial> {
-        if frame.model == self.call.model {
+    fn check_frame(&self, attempt: AttemptId, frame: &Frame) -> Result<(), Denial> {
+        let checked = invariant::answered(attempt, &self.call.model, &frame.model);
+        if self.shell.holds(checked, "adapter") {
             return Ok(());
         }
-        log::error!(
-            "invariant violated: request {} for {} was answered by {}; answer withheld",
-            self.call.id,
-            self.call.model,
-            frame.model
-        );
-        self.shell.metrics.faults(1, "adapter");
         Err(Denial::unknown(Reason::WrongAdapter, "the answer came from another adapter"))
     }
 
@@ -301,7 +300,7 @@
                 Err((status, body)) => return Ok(passed(status, body)),
             };
             let Some(frame) = first else { continue };
-            self.check_frame(&frame)?;
+            self.check_frame(permit.attempt, &frame)?;
             self.count(&mut permit, &frame);
             if let Some(Err(e)) = reply.frames.next().await {
                 let failed = self.broken(permit, &format!("{e:?}"));
@@ -348,7 +347,7 @@
             };
             let e = match next {
                 Some(Ok(frame)) => {
-                    self.check_frame(&frame)?;
+                    self.check_frame(permit.attempt, &frame)?;
                     self.count(&mut permit, &frame);
                     self.forward(&frame, tx).await;
                     continue;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -37,6 +37,7 @@
 
 use crate::bucket::{Borrowed, Bucket, Lent, MICRO, SPEC_MAX, Share, part, shares};
 pub use crate::bucket::{RateSpec, SEATS, SHARES};
+use crate::failpoint::{Failpoint, active};
 use crate::ids::{Map, Node, Team};
 pub use crate::loan::{Level, Loan, LoanAsk, Peers, Settings};
 use crate::time::Ms;
@@ -450,7 +451,9 @@
             entry.scarce = now + Ms(term.0 / 2);
         }
         let scarce = now < entry.scarce;
-        bucket.stock -= stock as i64;
+        if !active(Failpoint::DoubleLoan) {
+            bucket.stock -= stock as i64;
+        }
         if stock > 0 || share != Share::default() {
             let (to, id, flight) = (from.clone(), ask.id, stock);
             bucket.lent.push(Lent { to, id, end: None, share, flight });
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 
-use crate::attempt::{AttemptState, Backoff};
+use crate::attempt::{AttemptState, Backoff, Tries};
 use crate::denial::Denial;
 use crate::shell::{Ports, Shell};
 use crate::time::Ms;
@@ -46,7 +46,7 @@
     deadline: Ms,
     repeatable: bool,
     failures: u32,
-    maybe: bool,
+    tries: Tries,
     backoff: Backoff,
 }
 
@@ -54,7 +54,7 @@
     /// The first attempt of a request; `repeatable` says that a second run is harmless.
     pub(crate) fn new(begun: Ms, deadline: Ms, repeatable: bool) -> Self {
         let backoff = Backoff::new(BACKOFF, BACKOFF_MAX);
-        Self { begun, deadline, repeatable, failures: 0, maybe: false, backoff }
+        Self { begun, deadline, repeatable, failures: 0, tries: Tries::default(), backoff }
     }
 
     /// Waits before the next attempt.
@@ -67,7 +67,7 @@
         failed: Failed,
     ) -> Result<(), Denial> {
         let Failed { denial, state, unsettled } = failed;
-        self.maybe |= denial.ran;
+        self.tries.add(&state);
         let now = shell.now();
         let allowed = now < self.deadline
             && match (unsettled, state) {
@@ -93,7 +93,7 @@
 
     /// The refusal of a request, true to all its attempts.
     pub(crate) fn deny(&self, mut denial: Denial) -> Denial {
-        denial.ran |= self.maybe;
+        denial.ran |= self.tries.may_have_run();
         denial
     }
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 
 use crate::error::Error;
+use crate::failpoint::{Failpoint, active};
 use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Set, Team};
 pub use crate::loads::LoadGate;
 use crate::loads::{Demand, LoadShare};
@@ -366,7 +367,7 @@
     /// Tells whether the endpoint is being taken away; if so, all queued jobs are refused
     /// and nothing more is granted.
     pub fn set_leaving(&mut self, now: Ms, leaving: bool, out: &mut Vec<SchedOut>) {
-        if leaving == self.leaving {
+        if leaving == self.leaving || active(Failpoint::GrantLeaving) {
             return;
         }
         self.leaving = leaving;
@@ -432,6 +433,11 @@
         &self.slots
     }
 
+    /// Team that a running attempt is charged to; none for a former owner's permit.
+    pub fn team(&self, attempt: AttemptId) -> Option<&Team> {
+        self.running.get(&attempt)?.team.as_ref()
+    }
+
     /// Attempts that run here, in order.
     pub fn running(&self) -> impl Iterator<Item = AttemptId> {
         self.running.keys().copied()
@@ -533,6 +539,7 @@
             let Some(job) = self.queue.pop(now, free) else { return };
             let suspect = self.suspects.contains(&job.fingerprint);
             if let Some(adapter) = &job.adapter
+                && !active(Failpoint::SkipPin)
                 && let Err(fault) = self.slots.pin(now, job.attempt, adapter)
             {
                 self.faults.push(fault);
--- a/tests/faults_platform.rs
+++ b/tests/faults_platform.rs
@@ -156,14 +156,14 @@
         let lost = results.iter().find(|r| r["result"] == "lost").expect("a loser");
         assert_eq!(lost["head"]["serial"], serial + 1, "{lost:#}");
         assert!(lost["changes"].as_array().is_some_and(|c| !c.is_empty()), "{lost:#}");
-        for node in 0..3 {
+        for (node, seen) in seen.iter_mut().enumerate() {
             d.until(node, "new serial", |s| {
                 let now = s["serial"].as_u64().unwrap();
-                assert!(now >= seen[node], "node {node} went back to serial {now}");
+                assert!(now >= *seen, "node {node} went back to serial {now}");
                 now > serial
             })
             .await;
-            seen[node] = serial + 1;
+            *seen = serial + 1;
         }
     }
     d.fault(d.platform, json!({"service": "table", "outage": true})).await;
