--- a/src/authority.rs
+++ b/src/authority.rs
@@ -143,6 +143,11 @@
         self.owners.held.iter().map(|(r, h)| (r, h.fence))
     }
 
+    /// Whether a scan that began after the instant was answered.
+    pub(crate) fn scanned_since(&self, at: Ms) -> bool {
+        self.seen_last.is_some_and(|seen| seen >= at + self.settings().timeout)
+    }
+
     /// Whether seats are without a working holder because a node has ended: it has
     /// not been evicted yet, or was less than `quiet` and the time to claim ago.
     pub(crate) fn seats_move(&self, now: Ms, quiet: Ms) -> bool {
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::{AttemptState, Backoff, Step};
 use crate::claim::{Answer as StoredAnswer, Call as ClaimCall, Outcome, body_digest, row_key};
+use crate::completion::CRASH_PAUSE;
 use crate::config::RouteSpec;
 use crate::denial::{Denial, Reason};
 use crate::engine::StartError;
@@ -20,9 +21,9 @@
 use crate::keyed::{ClaimEvent, Keyed};
 use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, TAKEOVER};
 use crate::quarantine;
-use crate::serve::{ATTEMPTS_MAX, Answer, Caller};
+use crate::serve::{ATTEMPTS_MAX, Answer, Caller, Measured};
 use crate::service::{Service, ServiceCall as WireCall, ServiceReply};
-use crate::shell::{Measured, Ports, Shell};
+use crate::shell::{Ports, Shell};
 use crate::time::{Ms, wall_clock};
 
 /// Time for which a lost answer is looked up at the service.
@@ -181,7 +182,10 @@
             return Err(Denial { ran: self.ran, ..failed.denial });
         }
         self.shell.metrics.retries(1, failed.denial.reason.code());
-        let pause = self.shell.pause(&mut self.backoff);
+        let mut pause = self.shell.pause(&mut self.backoff);
+        if failed.state == AttemptState::Unknown {
+            pause = pause.max(CRASH_PAUSE);
+        }
         sleep(pause.std()).await;
         Ok(())
     }
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -21,10 +21,13 @@
 use crate::openai::{ChunkView, Completion};
 use crate::permit::{BACKOFF, BACKOFF_MAX, Permit, Stock, TAKEOVER};
 use crate::quarantine;
-use crate::serve::{ATTEMPTS_MAX, Answer, Caller, passed};
-use crate::shell::{Measured, Ports, Shell};
+use crate::serve::{ATTEMPTS_MAX, Answer, Caller, Measured, passed};
+use crate::shell::{Ports, Shell};
 use crate::time::Ms;
 
+/// Least time between a lost attempt and the next one. A query of the endpoint and
+/// a heartbeat take a few milliseconds; the rest is for a loaded machine.
+pub(crate) const CRASH_PAUSE: Ms = Ms(250);
 /// Events that may wait for a slow caller before the engine's stream is held back.
 const EVENTS: usize = 64;
 /// A completion request after parsing and authentication.
@@ -211,7 +214,12 @@
                 return Err(denial);
             }
             self.shell.metrics.retries(1, denial.reason.code());
-            let pause = self.shell.pause(&mut self.backoff);
+            let mut pause = self.shell.pause(&mut self.backoff);
+            if state == AttemptState::Unknown {
+                // The endpoint may have crashed; the crash must be counted on every
+                // node before the request reaches another endpoint.
+                pause = pause.max(CRASH_PAUSE);
+            }
             sleep(pause.std()).await;
         }
     }
@@ -347,6 +355,7 @@
                 {
                     return Err(denial);
                 }
+                sleep(CRASH_PAUSE.std()).await;
                 continue;
             }
             permit.step(Step::Answer);
@@ -427,10 +436,27 @@
             deadline: self.shell.instant(self.call.demand.deadline),
             resume: Some(self.sent),
         };
-        let reply = engine.start(&call).await.ok()?;
-        self.shell.metrics.resumes(1);
-        log::info!("request {} resumed after {} tokens", self.call.id, self.sent);
-        Some(reply)
+        for n in 1..=ATTEMPTS_MAX {
+            let why = match engine.start(&call).await {
+                Ok(reply) => {
+                    self.shell.metrics.resumes(1);
+                    log::info!("request {} resumed after {} tokens", self.call.id, self.sent);
+                    return Some(reply);
+                }
+                Err(StartError::Refused { status, .. }) => {
+                    log::warn!("resuming {} was refused with status {status}", self.call.id);
+                    return None;
+                }
+                // The same attempt at the same offset may be asked for again.
+                Err(StartError::Unsent(why) | StartError::Unknown(why)) => why,
+            };
+            log::warn!("resuming request {} failed, try {n}: {why}", self.call.id);
+            if n < ATTEMPTS_MAX {
+                let pause = self.shell.pause(&mut self.backoff);
+                sleep(pause.std()).await;
+            }
+        }
+        None
     }
 
     async fn forward(&self, frame: &Frame, tx: &mpsc::Sender<Bytes>) {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -176,7 +176,8 @@
             .enumerate()
             .filter_map(|(at, i)| {
                 let row = &fleet.endpoints()[*i];
-                let usable = !excluded.contains(&row.name) && row.live_owner(now).is_some();
+                let usable =
+                    !excluded.contains(&row.name) && !row.leaving && row.live_owner(now).is_some();
                 let home = demand.adapter.is_none() || homes.contains(&(at as u16));
                 let own = asked.count(&row.name, &demand.team);
                 usable.then(|| candidate(now, row, demand, home, own, &settings.domain))
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -31,6 +31,7 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
 /// A child process, killed when it is dropped.
 pub struct Process {
@@ -84,8 +85,18 @@
 }
 
 /// A port that was free a moment ago.
+///
+/// It lies below the range of which outgoing connections get their ports, one of
+/// which could take it before the node binds it.
 fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + (std::process::id() * 331 + number) % 20_000;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// An endpoint stand-in.
@@ -281,17 +292,33 @@
         self.put(at, Method::POST, "/debug/fault", &fault).await;
     }
 
+    /// Puts a fault in force that also hits the connection on which it is sent.
+    pub async fn strike(&self, at: SocketAddr, fault: Value) {
+        let http = Http::new(HttpSettings::default());
+        let req = request(Method::POST, "/debug/fault", Bytes::from(fault.to_string())).unwrap();
+        let _ = http.fetch(at, req, Instant::now() + Duration::from_secs(1)).await;
+    }
+
     async fn put(&self, at: SocketAddr, method: Method, path: &str, body: &Value) {
+        // Faults may have silenced the connections that are open.
+        let http = Http::new(HttpSettings::default());
         let req = request(method, path, Bytes::from(body.to_string())).unwrap();
-        let whole = self.http.fetch(at, req, Instant::now() + PATIENCE).await.unwrap();
+        let whole = http.fetch(at, req, Instant::now() + PATIENCE).await.unwrap();
         assert!(whole.status.is_success(), "{path}: {}", whole.status);
     }
 
     /// What a stand-in has recorded.
     pub async fn record(&self, at: SocketAddr) -> Value {
-        let req = request(Method::GET, "/debug/record", Bytes::new()).unwrap();
-        let whole = self.http.fetch(at, req, Instant::now() + PATIENCE).await.unwrap();
-        serde_json::from_slice(&whole.body).unwrap()
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let req = request(Method::GET, "/debug/record", Bytes::new()).unwrap();
+            match Http::new(HttpSettings::default()).fetch(at, req, end).await {
+                Ok(whole) => return serde_json::from_slice(&whole.body).unwrap(),
+                // A crashed stand-in refuses connections until its restart.
+                Err(e) => assert!(Instant::now() < end, "{e:?}"),
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
     }
 
     /// Sends one request to a node's callers' listener.
--- a/tests/faults_endpoints.rs
+++ b/tests/faults_endpoints.rs
@@ -63,8 +63,8 @@
     let all: Vec<_> = engines(&d).map(|e| e.addr).collect();
     for addr in &all {
         sleep(Duration::from_secs(2)).await;
-        d.fault(*addr, json!({"crash": true})).await;
         d.fault(*addr, json!({"fail_loads": 3})).await;
+        d.strike(*addr, json!({"crash": true})).await;
     }
     let report = load.await.unwrap();
     assert_eq!((report.total.wrong, report.total.broken), (0, 0), "{report:#?}");
@@ -105,7 +105,7 @@
     let mut stream = d.stream(0, 0, "silenced", 1000).await;
     stream.begin().await;
     for e in engines(&d) {
-        d.fault(e.addr, json!({"silence": true})).await;
+        d.strike(e.addr, json!({"silence": true})).await;
     }
     let mut plan = d.plan_to(&[0, 1], 6, 60.0, 72);
     plan.mix = [1, 1, 0];
--- a/tests/faults_nodes.rs
+++ b/tests/faults_nodes.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use deployment::{Deployment, StreamEnd, adapter};
@@ -100,24 +101,35 @@
     // A long answer that its caller reads late is still whole.
     let mut slow = d.stream(gone, 0, "slow reader", 900).await;
     slow.begin().await;
-    let begun = Instant::now();
-    match admin {
-        true => drop(d.client(&["drain", "--admin", &d.nodes[gone].admin.to_string()])),
-        false => d.nodes[gone].process.as_ref().unwrap().signal("TERM"),
-    }
-    // A balancer looks before it sends.
+    // Senders use the node until a look at `/readyz`, as a balancer has it, fails.
+    let ready = AtomicBool::new(true);
     let ask = json!({"model": adapter(0, 2), "prompt": "x", "max_tokens": 8});
     let sender = async |_| {
         let mut count = 0;
-        while d.send(gone, Method::GET, "/readyz", &[], "").await.status.is_success() {
+        while ready.load(Ordering::Relaxed) {
             let (code, body) = d.post(gone, 0, "/v1/completions", &ask).await;
             assert_eq!(code, 200, "{body}");
             count += 1;
         }
         count
     };
-    let sent: u32 = join_all((0..8).map(sender)).await.iter().sum();
-    println!("{sent} requests to the leaving node until it was not ready");
+    let balancer = async {
+        while d.send(gone, Method::GET, "/readyz", &[], "").await.status.is_success() {
+            sleep(Duration::from_millis(500)).await;
+        }
+        sleep(Duration::from_millis(500)).await;
+        ready.store(false, Ordering::Relaxed);
+    };
+    let signal = async {
+        sleep(Duration::from_secs(1)).await;
+        match admin {
+            true => drop(d.client(&["drain", "--admin", &d.nodes[gone].admin.to_string()])),
+            false => d.nodes[gone].process.as_ref().unwrap().signal("TERM"),
+        }
+        Instant::now()
+    };
+    let (sent, (), begun) = tokio::join!(join_all((0..8).map(sender)), balancer, signal);
+    println!("{} requests to the leaving node", sent.iter().sum::<u32>());
     sleep(Duration::from_secs(3)).await;
     let reading = async {
         let end = slow.end().await;
--- a/tests/faults_platform.rs
+++ b/tests/faults_platform.rs
@@ -72,6 +72,23 @@
     assert_eq!(report.total.right, report.total.sent, "{report:#?}");
 }
 
+// Guards against a node that takes a peer which it has not yet seen in a scan for one
+// that has ended, and so calls the outcome of the peer's running booking unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_waits_for_the_answer_at_a_new_node() {
+    let d = Deployment::start(2, 1).await;
+    for e in d.endpoints.iter().filter(|e| e.role == "service") {
+        d.fault(e.addr, json!({"slow": 100.0})).await;
+    }
+    let names: Vec<String> = (0..8).map(|n| format!("new-{n}")).collect();
+    let both = names.iter().map(|b| join_all([d.book(0, b), d.book(1, b)]));
+    for (booking, answers) in names.iter().zip(join_all(both).await) {
+        assert!(answers.iter().all(|(code, _)| *code == 200), "{booking}: {answers:?}");
+        assert_eq!(answers[0].1["attempt"], answers[1].1["attempt"]);
+    }
+    d.check_records().await;
+}
+
 // Guards against a withdrawn key whose running streams go on, and against an effect
 // on another team.
 #[tokio::test(flavor = "multi_thread")]
@@ -156,14 +173,14 @@
         let lost = results.iter().find(|r| r["result"] == "lost").expect("a loser");
         assert_eq!(lost["head"]["serial"], serial + 1, "{lost:#}");
         assert!(lost["changes"].as_array().is_some_and(|c| !c.is_empty()), "{lost:#}");
-        for node in 0..3 {
+        for (node, last) in seen.iter_mut().enumerate() {
             d.until(node, "new serial", |s| {
                 let now = s["serial"].as_u64().unwrap();
-                assert!(now >= seen[node], "node {node} went back to serial {now}");
+                assert!(now >= *last, "node {node} went back to serial {now}");
                 now > serial
             })
             .await;
-            seen[node] = serial + 1;
+            *last = serial + 1;
         }
     }
     d.fault(d.platform, json!({"service": "table", "outage": true})).await;
