--- a/src/authority.rs
+++ b/src/authority.rs
@@ -150,6 +150,11 @@
         self.owners.held.iter().map(|(r, h)| (r, h.fence))
     }
 
+    /// Whether a scan that began after the instant was answered.
+    pub(crate) fn scanned_since(&self, at: Ms) -> bool {
+        self.seen_last.is_some_and(|seen| seen >= at + self.settings().timeout)
+    }
+
     /// Whether seats are without a working holder because a node has ended: it has
     /// not been evicted yet, or was less than `quiet` and the time to claim ago.
     pub(crate) fn seats_move(&self, now: Ms, quiet: Ms) -> bool {
@@ -173,10 +178,13 @@
     }
 
     /// Whether a node is known to have no authority: its row is gone or says so.
-    pub fn is_gone(&self, node: &Node) -> bool {
-        self.scanned
-            && node != self.lease.node()
-            && self.nodes.get(node).is_none_or(|k| k.row.state == NodeState::Gone)
+    pub fn is_gone(&self, node: &Node, since: Ms) -> bool {
+        node != self.lease.node()
+            && match self.nodes.get(node) {
+                Some(known) => known.row.state == NodeState::Gone,
+                // A node that has just started is in no scan yet.
+                None => self.scanned && self.scanned_since(since),
+            }
     }
 
     /// Requests a scan at the next tick, for news from a heartbeat.
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -24,9 +24,9 @@
 use crate::permit::{Permit, Routed};
 use crate::quarantine;
 use crate::retry::{Failed, Retry};
-use crate::serve::{Answer, Caller};
+use crate::serve::{Answer, Caller, Measured};
 use crate::service::{Service, ServiceCall as WireCall, ServiceReply};
-use crate::shell::{Measured, Ports, Shell};
+use crate::shell::{Ports, Shell};
 use crate::time::{Ms, wall_clock};
 
 /// Time for which a lost answer is looked up at the service.
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -22,10 +22,12 @@
 use crate::permit::{Permit, Stock};
 use crate::quarantine;
 use crate::retry::{Failed, Retry};
-use crate::serve::{Answer, Caller, passed};
-use crate::shell::{Measured, Ports, Shell};
+use crate::serve::{Answer, Caller, Measured, passed};
+use crate::shell::{Ports, Shell};
 use crate::time::Ms;
 
+/// Most requests to resume a stream at one offset.
+const RESUMES_MAX: u32 = 4;
 /// Events that may wait for a slow caller before the engine's stream is held back.
 const EVENTS: usize = 64;
 /// A completion request after parsing and authentication.
@@ -383,10 +385,26 @@
             deadline: self.shell.instant(self.call.demand.deadline),
             resume: Some(self.sent),
         };
-        let reply = engine.start(&call).await.ok()?;
-        self.shell.metrics.resumes(1);
-        log::info!("request {} resumed after {} tokens", self.call.id, self.sent);
-        Some(reply)
+        for n in 1..=RESUMES_MAX {
+            let why = match engine.start(&call).await {
+                Ok(reply) => {
+                    self.shell.metrics.resumes(1);
+                    log::info!("request {} resumed after {} tokens", self.call.id, self.sent);
+                    return Some(reply);
+                }
+                Err(StartError::Refused { status, .. }) => {
+                    log::warn!("resuming {} was refused with status {status}", self.call.id);
+                    return None;
+                }
+                // The same attempt at the same offset may be asked for again.
+                Err(StartError::Unsent(why) | StartError::Unknown(why)) => why,
+            };
+            log::warn!("resuming request {} failed, try {n}: {why}", self.call.id);
+            if n < RESUMES_MAX {
+                self.retry.pause(&self.shell).await;
+            }
+        }
+        None
     }
 
     async fn forward(&self, frame: &Frame, tx: &mpsc::Sender<Bytes>) {
--- a/src/core.rs
+++ b/src/core.rs
@@ -98,13 +98,14 @@
     pub(crate) crashes: Vec<(Ms, peer::Crash)>,
     pub(crate) counted: Set<(String, String)>,
     pub(crate) cleared: Vec<(Ms, u64)>,
+    pub(crate) lifted: Vec<(Ms, u64)>,
     pub(crate) listed: Map<Endpoint, Vec<AdapterRef>>,
     pub(crate) owner_since: Map<Endpoint, (u64, Ms)>,
     pub(crate) beats: u64,
     /// Invariant violations, for the log and the tests.
     pub faults: Vec<String>,
     resources: Vec<Resource>,
-    next_beat: Ms,
+    pub(crate) next_beat: Ms,
     next_plan: Ms,
     next_authority: Ms,
     suspended: bool,
@@ -129,6 +130,7 @@
             crashes: Vec::new(),
             counted: Set::default(),
             cleared: Vec::new(),
+            lifted: Vec::new(),
             listed: Map::default(),
             owner_since: Map::default(),
             beats: 0,
@@ -416,6 +418,16 @@
         }
     }
 
+    /// Counts the crash of an endpoint whose process has ended, without waiting for
+    /// its restart: meanwhile the request that caused it would reach other endpoints.
+    pub(crate) fn on_refused(&mut self, now: Ms, endpoint: &Endpoint, out: &mut Vec<Out>) {
+        let ended = self.owned.get_mut(endpoint).and_then(|o| o.on_refused(now));
+        if let Some((incarnation, flight)) = ended {
+            let crash = peer::Crash { endpoint: endpoint.to_string(), incarnation, flight };
+            self.count_crash(now, crash, out);
+        }
+    }
+
     /// Applies a change to an owned endpoint and passes its outputs on.
     pub(crate) fn with_owned(
         &mut self,
@@ -430,6 +442,15 @@
         self.absorb_sched(now, endpoint, outs, out);
     }
 
+    /// Lifts a quarantine here and, by heartbeats, in the whole cell; `false` if
+    /// there is no entry.
+    pub(crate) fn lift(&mut self, now: Ms, fp: u64) -> bool {
+        self.clear_suspect(fp);
+        self.lifted.push((now, fp));
+        self.next_beat = now;
+        self.quarantine.lift(now, fp)
+    }
+
     /// Starts a graceful shutdown.
     pub fn drain(&mut self, now: Ms) {
         self.draining = true;
--- a/src/keyed.rs
+++ b/src/keyed.rs
@@ -116,7 +116,10 @@
                 self.claim_event(ticket, ClaimEvent::Unknown(attempt));
             }
             ClaimOut::NotRun(ticket, _) => self.claim_event(ticket, ClaimEvent::NotRun),
-            ClaimOut::Wait(_, node) => drop(self.watched.lock().unwrap().insert(node)),
+            ClaimOut::Wait(_, node) => {
+                let now = self.now();
+                self.watched.lock().unwrap().entry(node).or_insert(now);
+            }
             ClaimOut::Read { keys } => drop(tokio::spawn(self.clone().read_claims(keys))),
             ClaimOut::Query { key, attempt, endpoint } => {
                 drop(tokio::spawn(self.clone().query_attempt(key, attempt, endpoint)));
@@ -187,10 +190,13 @@
 
     /// Reports watched nodes that have lost their authority to the claim module.
     pub(crate) fn check_watched(self: &Arc<Self>) {
-        let watched: Vec<Node> = self.watched.lock().unwrap().iter().cloned().collect();
+        let watched: Vec<(Node, Ms)> =
+            self.watched.lock().unwrap().iter().map(|(n, at)| (n.clone(), *at)).collect();
         let gone: Vec<Node> = {
             let core = self.core.lock().unwrap();
-            watched.iter().filter(|n| core.authority.is_gone(n)).cloned().collect()
+            let authority = &core.authority;
+            let ended = |(n, at): &&(Node, Ms)| authority.is_gone(n, *at);
+            watched.iter().filter(ended).map(|(n, _)| n.clone()).collect()
         };
         let now = self.now();
         for node in gone {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -16,6 +16,10 @@
 const BACKOFF: Ms = Ms(20);
 /// Longest delay before a retry.
 const BACKOFF_MAX: Ms = Ms(500);
+/// Least time between a lost attempt and the next one: if the request crashed its
+/// endpoint, the next attempt must know. A query of the endpoint and a heartbeat take
+/// a few milliseconds; the rest is for a loaded machine.
+const CRASH_PAUSE: Ms = Ms(250);
 /// Time for which a request waits for an endpoint with an owner.
 ///
 /// A takeover lasts at most 5 s; a refusal during one would be a wrongful one.
@@ -81,9 +85,17 @@
             return Err(self.deny(denial));
         }
         shell.metrics.retries(1, denial.reason.code());
+        if state == AttemptState::Unknown {
+            sleep(CRASH_PAUSE.std()).await;
+        }
+        self.pause(shell).await;
+        Ok(())
+    }
+
+    /// Waits for the next delay.
+    pub(crate) async fn pause<P: Ports>(&mut self, shell: &Shell<P>) {
         let pause = shell.pause(&mut self.backoff);
         sleep(pause.std()).await;
-        Ok(())
     }
 
     fn count(&mut self) -> bool {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -439,8 +439,12 @@
         }
         self.core(i, |core, now, out| core.tick(now, out));
         let authority: &Authority = &self.members[i].core.authority;
-        let gone: Vec<Node> =
-            self.members[i].watched.iter().filter(|n| authority.is_gone(n)).cloned().collect();
+        let gone: Vec<Node> = self.members[i]
+            .watched
+            .iter()
+            .filter(|n| authority.is_gone(n, Ms(0)))
+            .cloned()
+            .collect();
         for node in gone {
             self.members[i].watched.remove(&node);
             self.members[i].claims.node_gone(Ms(self.now), &node);
