--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -26,7 +26,7 @@
 
 fn config() -> Config {
     let mut text = format!(
-        "[[team]]\nname = \"a\"\nrate = 1_000_000_000\nburst = 1_000_000_000\n\
+        "[[team]]\nname = \"a\"\nrate = 5_000_000\nburst = 10_000_000\n\
          [[key]]\nid = \"k\"\nteam = \"a\"\ndigest = \"{}\"\n\
          [[model]]\nname = \"base\"\ncontext = 8_192\n\
          [[pool]]\nname = \"engines\"\nmodel = \"base\"\n\
@@ -40,7 +40,9 @@
              versions = [\"1\"]\ndefault = \"1\"\n"
         ));
     }
-    Config::compile(check("document", &text).document.expect("valid document"), 1, "")
+    let checked = check("document", &text);
+    let document = checked.document.unwrap_or_else(|| panic!("{}", checked.findings[0]));
+    Config::compile(document, 1, "")
 }
 
 /// Nanoseconds to admit and to route, with this many endpoints.
@@ -60,7 +62,7 @@
     let ring = Ring::new(&names);
     let team = Team::new("a");
     let mut quota = Quota::new(Settings::default());
-    quota.set_rates(Ms(0), &[(team.clone(), RateSpec::new(1_000_000_000, 1_000_000_000))]);
+    quota.set_rates(Ms(0), &[(team.clone(), RateSpec::new(5_000_000, 10_000_000))]);
     for seat in 0..SEATS {
         quota.gain_seat(Ms(0), &team, seat, Ms(0));
     }
