Repair faults found by killing, freezing and cutting real processes

- Refusals "rate_exceeded" while seats change hands (kill, freeze, drain, rebalance).
Cause: a new holder starts a seat without stock and waits until loans have ended, and other nodes have nothing to borrow; the admission took this for a used-up rate.
Ruled out: the rate itself (500,000 tokens/s, requests of at most 24 tokens, stock 0).
Admission now waits up to 8 s while a seat's row has changed lately, a seat is free or a node has ended.
- A request on a connection that went silent before the answer's head waited up to its deadline and had no time left for another attempt.
The engine is now asked whether it runs the attempt.

--- a/src/authority.rs
+++ b/src/authority.rs
@@ -69,6 +69,8 @@
     pub(crate) scan_next: Ms,
     /// When to look for claims, releases and evictions next.
     assign_next: Ms,
+    /// When this node last gave up a seat or saw a seat's row change.
+    pub(crate) seats_moved: Option<Ms>,
     /// Start of the last scan.
     pub(crate) scan_last: Option<Ms>,
     /// Answer to the last scan.
@@ -102,6 +104,7 @@
             scanned: false,
             scan_next: Ms(0),
             assign_next: Ms(0),
+            seats_moved: None,
             scan_last: None,
             seen_last: None,
             nonce: SmallRng::seed_from_u64(seed).random(),
@@ -166,10 +169,9 @@
             _ => k.expired(now, settings),
         });
         let seat = |r: &Resource| matches!(r, Resource::Seat { .. });
-        let held = self.owners.held.iter().filter(|(r, h)| seat(r) && h.fence > 1);
-        let gained = held.map(|(_, h)| now.since(h.since) < quiet);
         let free = self.owners.free.keys().any(seat);
-        free || ended.chain(gained).any(|moves| moves)
+        let moved = self.seats_moved.is_some_and(|at| now.since(at) < quiet);
+        free || moved || ended.into_iter().any(|moves| moves)
     }
 
     /// Whether a graceful shutdown has released everything, lease included.
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt;
 use http::StatusCode;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use crate::attempt::Step;
 use crate::config::{Config, ModelTarget, RouteSpec, Serves};
@@ -215,7 +216,13 @@
                 self.unsent(permit, "the permit expired before the request left"),
             ));
         }
-        match engine.start(&call).await {
+        let started = tokio::select! {
+            started = engine.start(&call) => started,
+            () = self.forgotten(&engine, attempt) => {
+                Err(StartError::Unknown("the endpoint does not run the attempt".to_owned()))
+            }
+        };
+        match started {
             Ok(mut reply) => match reply.frames.next().await {
                 Some(Ok(frame)) => {
                     permit.step(Step::Start);
@@ -236,6 +243,22 @@
         }
     }
 
+    /// Returns when the engine has twice not listed the attempt as running.
+    ///
+    /// Nothing shows progress before an answer's head, which comes last where the
+    /// answer is not streamed, so a connection that went silent would hold its request
+    /// up to the deadline. The second look allows for the lag of the engine's report.
+    async fn forgotten(&self, engine: &P::Engine, attempt: AttemptId) {
+        let mut missed = 0;
+        while missed < 2 {
+            sleep(self.shell.limits().progress.std()).await;
+            if let Ok(state) = engine.state().await {
+                let runs = state.running.contains(&attempt);
+                missed = if runs { 0 } else { missed + 1 };
+            }
+        }
+    }
+
     fn unsent(&mut self, permit: Permit<P>, why: &str) -> Failed {
         self.excluded.push(permit.endpoint.clone());
         let denial =
