Settle orders with lost answers, free places and permits of lost holders

Four faults found by tests/random.rs and by reading, with tests in tests/takeover.rs.

A leaving endpoint got new permits from an owner that took it over after the mark. The mark was applied only when the list was read next, up to 1 s after the gain. Ruled out: a stale list (the gaining node's row said leaving). The mark now applies at the gain.

After the lost answer of an eviction the owner took the adapter as loaded and granted attempts that the engine refused: "a-0 is absent on f-0 at a granted attempt", 16 times in one run of slots_recover_from_lost_answers. A lost answer is now settled by the endpoint's own state, read after it.

Places of a plain service stayed taken after their entry node was killed, because a service has no state that names its attempts. Attempts of nodes that are gone, and those 5 s past their deadline, end when the service answers.

An owner that lost an endpoint while loads waited for an eviction kept their load permits for ever, and with all permits held it loaded nothing more.

By reading, without a test: two adoptions of configurations on different threads could reach the shell's watch channel in the wrong order and put the lower serial in force for requests; the channel now keeps the higher one.

Not done: IgnoreFence.

--- a/src/core.rs
+++ b/src/core.rs
@@ -265,6 +265,9 @@
                 for fp in self.quarantine.suspects() {
                     owned.sched.set_suspect(fp, true);
                 }
+                if row.leaving {
+                    owned.sched.set_leaving(now, &mut Vec::new());
+                }
                 self.owned.insert(name, owned);
             }
             Resource::Seat { team, index } => {
@@ -282,6 +285,12 @@
         match resource {
             Resource::Endpoint { name, .. } => {
                 if let Some(owned) = self.owned.remove(name) {
+                    // Nothing else returns the permits of loads that wait for an eviction.
+                    let held = owned.sched.load_permits();
+                    let left = self.load_permits.len().saturating_sub(held);
+                    for reservation in self.load_permits.split_off(left) {
+                        self.quota.settle(now, reservation, 0);
+                    }
                     for (attempt, row) in owned.jobs.iter().filter(|(_, j)| !j.granted) {
                         let reply = crate::grant::refusal(*attempt, name, "not_owner", Ms(50));
                         self.reply(&row.entry.clone(), *attempt, reply, out);
@@ -318,6 +327,7 @@
                 }
                 if now >= owned.next_poll && !owned.polling {
                     owned.polling = true;
+                    owned.asked = now;
                     owned.next_poll = now + POLL;
                     out.push(Out::Query(name.clone()));
                 }
@@ -384,11 +394,14 @@
         out: &mut Vec<Out>,
     ) {
         let mut crash = None;
+        let entries = self.owned.get(endpoint).into_iter().flat_map(|o| o.jobs.values());
+        let gone = entries.map(|j| &j.entry).filter(|n| self.authority.is_gone(n));
+        let gone: Vec<Node> = gone.cloned().collect();
         self.with_owned(now, endpoint, out, |owned, outs| {
             owned.polling = false;
             match state {
                 Ok(Some(state)) => crash = owned.on_state(now, &state, outs).crash,
-                Ok(None) => owned.on_alive(now, outs),
+                Ok(None) => owned.on_alive(now, &gone, outs),
                 Err(e) => {
                     log::warn!("endpoint {endpoint} did not report its state: {e}");
                     owned.on_silence(now, outs);
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -145,6 +145,7 @@
             entry: from.clone(),
             arrived: now,
             fingerprint: req.fingerprint,
+            deadline: job.deadline,
             order,
             team: job.team.clone(),
             adapter: job.adapter.clone(),
@@ -307,6 +308,18 @@
         });
     }
 
+    /// Records an order whose answer was lost: the endpoint's own state decides.
+    pub fn on_unknown(&mut self, now: Ms, order: &EndpointOrder, kind: Order) {
+        if kind == Order::Load
+            && let Some(reservation) = self.load_permits.pop()
+        {
+            self.quota.settle(now, reservation, 1);
+        }
+        if let Some(owned) = self.owned.get_mut(&order.endpoint) {
+            owned.doubt(now, order.adapter.clone(), order.epoch, kind == Order::Evict);
+        }
+    }
+
     /// Records a finished eviction.
     pub fn on_evicted(&mut self, now: Ms, order: &EndpointOrder, done: bool, out: &mut Vec<Out>) {
         self.with_owned(now, &order.endpoint, out, |owned, outs| {
--- a/src/owned.rs
+++ b/src/owned.rs
@@ -30,6 +30,8 @@
     pub(crate) team: Team,
     /// Adapter that the request asks for.
     pub(crate) adapter: Option<AdapterRef>,
+    /// Instant after which the entry node gives the attempt up.
+    pub(crate) deadline: Ms,
     /// Order that the permit allows.
     pub(crate) order: Order,
     /// Whether the permit was given.
@@ -56,6 +58,18 @@
     incarnation: Option<String>,
     recent: Vec<(Ms, u64)>,
     failures: u32,
+    /// When the last state query began.
+    pub(crate) asked: Ms,
+    doubts: Vec<Doubt>,
+}
+
+/// An order whose effect is unknown until the endpoint's state is read.
+#[derive(Debug)]
+struct Doubt {
+    at: Ms,
+    adapter: AdapterRef,
+    epoch: u64,
+    evict: bool,
 }
 
 /// What a state query has shown.
@@ -82,6 +96,8 @@
             incarnation: None,
             recent: Vec::new(),
             failures: 0,
+            asked: Ms(0),
+            doubts: Vec::new(),
         }
     }
 
@@ -128,6 +144,28 @@
         row
     }
 
+    /// Notes an order whose answer was lost; the endpoint's next statement settles it.
+    pub(crate) fn doubt(&mut self, now: Ms, adapter: AdapterRef, epoch: u64, evict: bool) {
+        self.doubts.push(Doubt { at: now, adapter, epoch, evict });
+        self.next_poll = now;
+    }
+
+    /// Settles orders in doubt by a statement that was asked for after them.
+    fn settle_doubts(&mut self, now: Ms, loaded: &[AdapterRef], out: &mut Vec<SchedOut>) {
+        let asked = self.asked;
+        let (due, rest) = self.doubts.drain(..).partition(|d: &Doubt| d.at <= asked);
+        self.doubts = rest;
+        let due: Vec<Doubt> = due;
+        for d in due {
+            let present = loaded.contains(&d.adapter);
+            match (d.evict, present) {
+                (true, _) => self.sched.on_evicted(now, &d.adapter, d.epoch, !present, out),
+                (false, true) => self.sched.on_loaded(now, &d.adapter, d.epoch, out),
+                (false, false) => self.sched.on_load_failed(now, &d.adapter, d.epoch, out),
+            }
+        }
+    }
+
     /// Adopts the endpoint's own state.
     pub(crate) fn on_state(
         &mut self,
@@ -141,7 +179,9 @@
         if known && self.ready {
             self.sched.set_healthy(now, true, out);
             polled.gone = self.sched.on_running(now, &state.running, out);
+            self.settle_doubts(now, &state.loaded, out);
         } else {
+            self.doubts.clear();
             if let Some(ended) = self.incarnation.replace(state.incarnation.clone()) {
                 polled.crash = Some((ended, self.flight(now)));
             }
@@ -156,8 +196,17 @@
     }
 
     /// Records that a plain service answers; it has no state to adopt.
-    pub(crate) fn on_alive(&mut self, now: Ms, out: &mut Vec<SchedOut>) {
+    ///
+    /// Attempts of entry nodes that are `gone`, and those long past their deadline, end
+    /// here: nobody else reports their end, and their places would stay taken.
+    pub(crate) fn on_alive(&mut self, now: Ms, gone: &[Node], out: &mut Vec<SchedOut>) {
         self.failures = 0;
+        let over = |j: &JobRow| gone.contains(&j.entry) || now.since(j.deadline) > RECENT;
+        let ended = self.jobs.iter().filter(|(_, j)| j.granted && over(j));
+        let ended: Vec<AttemptId> = ended.map(|(a, _)| *a).collect();
+        for attempt in ended {
+            self.end(now, attempt, 0, false, out);
+        }
         self.sched.set_healthy(now, true, out);
         if !self.ready {
             self.become_ready(now, out);
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -436,6 +436,11 @@
         self.running.keys().copied()
     }
 
+    /// Load permits of loads that are not ordered yet, which the gate has to get back.
+    pub fn load_permits(&self) -> usize {
+        self.permits.len() + self.unused.len()
+    }
+
     /// Violated invariants since the last call, for the log; empty in correct operation.
     pub fn take_faults(&mut self) -> Vec<Error> {
         std::mem::take(&mut self.faults)
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -424,7 +424,10 @@
             self.metrics.load_failures(1);
             log::warn!("loading {} on {} failed: {e:?}", order.adapter, order.endpoint);
         }
-        self.with_core(|core, now, out| core.on_loaded(now, &order, result.is_ok(), out));
+        self.with_core(|core, now, out| match result {
+            Err(OrderError::Unknown(_)) => core.on_unknown(now, &order, Order::Load),
+            _ => core.on_loaded(now, &order, result.is_ok(), out),
+        });
     }
 
     async fn evict(self: Arc<Self>, order: EndpointOrder) {
@@ -442,7 +445,10 @@
         if let Err(e) = &result {
             log::warn!("evicting {} from {} failed: {e:?}", order.adapter, order.endpoint);
         }
-        self.with_core(|core, now, out| core.on_evicted(now, &order, result.is_ok(), out));
+        self.with_core(|core, now, out| match result {
+            Err(OrderError::Unknown(_)) => core.on_unknown(now, &order, Order::Evict),
+            _ => core.on_evicted(now, &order, result.is_ok(), out),
+        });
     }
 
     async fn query(self: Arc<Self>, endpoint: Endpoint) {
@@ -492,7 +498,14 @@
         if adopted {
             log::info!("configuration {} is in force", config.serial());
             self.metrics.serial(config.serial());
-            self.config.send_replace(Some(config));
+            // Of two adoptions on different threads, the later may get here first.
+            self.config.send_if_modified(|present| {
+                let newer = present.as_ref().is_none_or(|c| c.serial() < config.serial());
+                if newer {
+                    *present = Some(config);
+                }
+                newer
+            });
         }
     }
 
--- a/tests/fleet/endpoint.rs
+++ b/tests/fleet/endpoint.rs
@@ -157,6 +157,9 @@
             });
         }
         let done = end == Ordered::Done;
+        if end == Ordered::Unknown {
+            return self.core(i, |core, now, _| core.on_unknown(now, order, kind));
+        }
         self.core(i, |core, now, out| match kind {
             Order::Evict => core.on_evicted(now, order, done, out),
             _ => core.on_loaded(now, order, done, out),
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -110,7 +110,8 @@
         adapter: engine.then(|| AdapterRef::new(&adapter, "1")),
         key: key.filter(|_| !engine),
         repeatable: engine,
-        tokens: rng.random_range(20..400),
+        // The small team asks for more than its rate.
+        tokens: rng.random_range(20..400) * if team == "b" { 6 } else { 1 },
         patience: rng.random_range(1_000..12_000),
         poison: engine && rng.random_range(0..150) == 0,
     }
@@ -199,3 +200,42 @@
         .max_tests(runs)
         .quickcheck(property as fn(Plan) -> TestResult);
 }
+
+/// Failpoints exist in debug builds only.
+#[cfg(debug_assertions)]
+mod broken {
+    use quickcheck::{Arbitrary, Gen};
+    use sycamorefork::failpoint::{self, FAILPOINTS, Failpoint};
+
+    use super::{Plan, SEED, run};
+
+    /// Plans that a run may take to notice a broken mechanism.
+    const PLANS: usize = 30;
+
+    /// Number of plans until a broken mechanism is noticed, with what was wrong.
+    fn found(failpoint: Failpoint) -> Option<(usize, String)> {
+        failpoint::set(Some(failpoint));
+        let mut rng = Gen::from_size_and_seed(100, SEED);
+        let plans = (0..PLANS).find_map(|n| {
+            let plan = Plan::arbitrary(&mut rng);
+            run(&plan).into_iter().next().map(|wrong| (n + 1, wrong))
+        });
+        failpoint::set(None);
+        plans
+    }
+
+    /// Guards against a random run that would not notice a broken mechanism.
+    #[test]
+    fn random_runs_notice_each_broken_mechanism() {
+        // `IgnoreFence` is noticed by some seeds only and is not asserted yet.
+        let known = FAILPOINTS.into_iter().filter(|f| *f != Failpoint::IgnoreFence);
+        let runs: Vec<_> = known.map(|f| (f, std::thread::spawn(move || found(f)))).collect();
+        let results: Vec<_> =
+            runs.into_iter().map(|(f, run)| (f, run.join().expect("no panic"))).collect();
+        for (failpoint, found) in &results {
+            println!("{failpoint:?}: {found:?}");
+        }
+        let missed: Vec<_> = results.iter().filter(|(_, found)| found.is_none()).collect();
+        assert!(missed.is_empty(), "not noticed with seed {SEED}: {missed:?}");
+    }
+}
--- /dev/null
+++ b/tests/takeover.rs
@@ -0,0 +1,95 @@
+//! Single faults at endpoints and their owners, over whole cores.
+
+mod fleet;
+
+use fleet::{End, Fault, Spec, World};
+use sycamorefork::ids::AdapterRef;
+
+fn owner(world: &World, endpoint: &str) -> usize {
+    let name = endpoint.into();
+    let now = sycamorefork::time::Ms(world.now);
+    let at = world.serving()[0];
+    let owner = world.members[at].core.live_owner(now, &name).expect("an owner").clone();
+    world.members.iter().position(|m| m.name == owner).expect("a member")
+}
+
+fn engine(node: usize, adapter: usize) -> Spec {
+    let adapter = Some(AdapterRef::new(&format!("a-{adapter}"), "1"));
+    Spec {
+        node,
+        team: "a",
+        adapter,
+        key: None,
+        repeatable: true,
+        tokens: 10,
+        patience: 6_000,
+        poison: false,
+    }
+}
+
+fn service(node: usize, key: usize) -> Spec {
+    Spec { adapter: None, key: Some(key), repeatable: false, ..engine(node, 0) }
+}
+
+/// Guards against permits on a leaving endpoint from an owner that took it over after the mark.
+#[test]
+fn leaving_endpoint_stays_leaving_under_a_new_owner() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, 3);
+        let first = owner(&world, "u-0");
+        world.later(0, Fault::Leave, 0, 1, 0);
+        world.later(4_000 + seed * 150, Fault::Kill, first, 1, 20_000);
+        for n in 0..400 {
+            world.arrive(3_000 + n * 30, engine(n as usize, n as usize % 9));
+        }
+        world.run(20_000);
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against places of a service that stay taken after their entry node was killed.
+#[test]
+fn places_of_a_killed_entry_node_become_free() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, 3);
+        // Past the moves of resources that follow the start.
+        world.run(20_000);
+        let owners = [owner(&world, "s-0"), owner(&world, "s-1")];
+        let Some(entry) = (0..3).find(|n| !owners.contains(n)) else { continue };
+        for n in 0..16 {
+            world.arrive(n, Spec { key: None, ..service(entry, 0) });
+        }
+        world.later(50, Fault::Kill, entry, 0, 90_000);
+        world.run(20_000);
+        let first = world.reqs.len();
+        for n in 0..6 {
+            world.arrive(10, service(n, n));
+        }
+        world.run(10_000);
+        let ends: Vec<_> = world.reqs[first..].iter().map(|r| r.end).collect();
+        assert_eq!(ends, vec![Some(End::Answered); 6], "seed {seed}: {:?}", world.violations);
+    }
+}
+
+/// Guards against slots that no longer match the engine after an order's answer was lost.
+#[test]
+fn slots_recover_from_lost_answers_to_orders() {
+    for seed in 0..4 {
+        let mut world = World::new(seed, 3);
+        for n in 0..300 {
+            world.arrive(n * 40, engine(n as usize, n as usize % 9));
+        }
+        for n in 0..12 {
+            world.later(n * 900, Fault::LostOrder, 0, n as usize % 3, 0);
+        }
+        world.run(30_000);
+        let first = world.reqs.len();
+        for n in 0..18 {
+            world.arrive(n * 400, engine(n as usize, 10 + n as usize % 9));
+        }
+        world.run(20_000);
+        let ends: Vec<_> = world.reqs[first..].iter().map(|r| r.end).collect();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(ends, vec![Some(End::Answered); 18], "seed {seed}");
+    }
+}
