--- a/src/core.rs
+++ b/src/core.rs
@@ -282,9 +282,6 @@
                 for fp in self.quarantine.suspects() {
                     owned.sched.set_suspect(fp, true);
                 }
-                if row.leaving {
-                    owned.sched.set_leaving(now, &mut Vec::new());
-                }
                 self.owned.insert(name, owned);
             }
             Resource::Seat { team, index } => {
@@ -412,8 +409,8 @@
     ) {
         let mut crash = None;
         let entries = self.owned.get(endpoint).into_iter().flat_map(|o| o.jobs.values());
-        let gone = entries.map(|j| &j.entry).filter(|n| self.authority.is_gone(n));
-        let gone: Vec<Node> = gone.cloned().collect();
+        let gone = entries.filter(|j| self.authority.is_gone(&j.entry, j.arrived));
+        let gone: Vec<Node> = gone.map(|j| j.entry.clone()).collect();
         self.with_owned(now, endpoint, out, |owned, outs| {
             owned.polling = false;
             match state {
