Wait while a part of a team's rate has no working holder

Cause: after a table outage a node released its 16 seats of a team to others; the new holders start them without stock and wait until loans have ended. The nodes without seats took the lack of tokens for a used-up rate: 4 of 1,600 requests were refused as rate_exceeded (seats 0, stock 12 to 22 tokens, rate 500,000 tokens/s), all about one second after the outage. Ruled out: the rate itself, and a missing heartbeat. The rule on rows and leases did not see the release, since a scan is up to 2 s old.

Heartbeats now carry the number of seats that refill at each node. A request that finds no tokens waits, within the known 8 s, while fewer than 16 seats refill in the cell. The price: requests above the rate are refused later during that time.

--- a/benches/units/mod.rs
+++ b/benches/units/mod.rs
@@ -39,6 +39,7 @@
         rate: 1,
         burst: 1,
         permits: 0,
+        seats: 1,
     };
     peer::Heartbeat {
         counter: 100_000,
--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -247,6 +247,11 @@
         self.seats.iter().flatten().count()
     }
 
+    /// Seats that refill at `now`; quiet ones do not count.
+    pub fn working(&self, now: Ms) -> u64 {
+        self.seats.iter().flatten().filter(|quiet| **quiet <= now).count() as u64
+    }
+
     /// Refills up to `now`; without `accrue` only ends seats' quiet time and loans.
     pub fn refill(&mut self, now: Ms, accrue: bool) {
         while self.last < now {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,14 +5,17 @@
 use crate::cell::Query;
 use crate::core::{Core, Out};
 use crate::denial::{Denial, Reason};
-use crate::fleet::vm_name;
+use crate::fleet::{PeerRow, vm_name};
 use crate::generated::peer::{self, frame::Body};
 use crate::grant::Outcome;
 use crate::ids::{AdapterRef, AttemptId, Endpoint, Node, RequestId, Team};
-use crate::quota::{self, Reservation, Take};
+use crate::quota::{self, Reservation, SEATS, Take};
 use crate::time::Ms;
 use crate::wire;
 
+/// Age from which a peer's count of its seats no longer counts.
+const SEATS_LIFE: Ms = Ms::secs(2);
+
 /// A permit that this entry node uses.
 #[derive(Clone, Debug)]
 pub struct HeldPermit {
@@ -88,9 +91,7 @@
                 }
                 Admission::Wait
             }
-            Take::Refused { reason: quota::Denied::Tokens, .. }
-                if self.authority.seats_move(now, quota::Settings::default().quiet_time()) =>
-            {
+            Take::Refused { reason: quota::Denied::Tokens, .. } if self.seats_move(now, team) => {
                 Admission::Moving(Box::new(self.quota_denial(
                     team,
                     tokens,
@@ -104,6 +105,19 @@
         }
     }
 
+    /// Whether a part of the team's rate is without a working holder at present.
+    ///
+    /// Heartbeats tell how many seats refill at each peer; rows and leases tell of
+    /// a holder that has ended, whose last heartbeat still counts its seats.
+    fn seats_move(&self, now: Ms, team: &Team) -> bool {
+        let fresh = |p: &&PeerRow| p.heard.is_some_and(|at| now.since(at) < SEATS_LIFE);
+        let peers = self.fleet.peers().values().filter(fresh).filter_map(|p| p.node.as_ref());
+        let others: u64 = peers.map(|n| self.stock_views.seats(n, team)).sum();
+        let working = self.quota.working(now, team) + others;
+        let quiet = quota::Settings::default().quiet_time();
+        working < SEATS as u64 || self.authority.seats_move(now, quiet)
+    }
+
     fn quota_denial(
         &self,
         team: &Team,
--- a/src/loan.rs
+++ b/src/loan.rs
@@ -107,6 +107,8 @@
     pub burst: u64,
     /// Permits beyond the node's own need, lent ones included.
     pub permits: u64,
+    /// Seats that refill at the node; quiet ones do not count.
+    pub seats: u64,
 }
 
 /// Levels that the cell's peers reported last.
@@ -120,6 +122,11 @@
         self.0.insert(node.clone(), levels);
     }
 
+    /// Seats of a team that refill at a peer, as it reported last.
+    pub(crate) fn seats(&self, node: &Node, team: &Team) -> u64 {
+        self.0.get(node).and_then(|l| l.get(team)).map_or(0, |l| l.seats)
+    }
+
     /// Forgets a peer that no longer answers.
     pub fn remove(&mut self, node: &Node) {
         self.0.remove(node);
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -526,6 +526,7 @@
                 rate: free.rate.max(own.rate / 8),
                 burst: free.burst.max(own.burst / 8),
                 permits: own.permits,
+                seats: bucket.working(now),
             });
         }
         levels.sort_by(|a, b| a.team.cmp(&b.team));
@@ -550,6 +551,11 @@
         self.suspended = false;
     }
 
+    /// Seats of the team that refill at this node; quiet ones do not count.
+    pub fn working(&self, now: Ms, team: &Team) -> u64 {
+        self.teams.get(team).map_or(0, |e| e.bucket.working(now))
+    }
+
     /// Amounts of a team as of its last refill; [`Quota::levels`] refills all teams.
     pub fn ledger(&self, team: &Team) -> Ledger {
         let Some(bucket) = self.teams.get(team).map(|e| &e.bucket) else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -80,6 +80,7 @@
         rate: l.rate,
         burst: l.burst,
         permits: l.permits,
+        seats: l.seats,
     }
 }
 
@@ -91,6 +92,7 @@
         rate: l.rate,
         burst: l.burst,
         permits: l.permits,
+        seats: l.seats,
     }
 }
 
