Let the failpoint for leaving endpoints break both of its guards

The entry node's own check of the leaving mark, added with the cell's table, hid the broken check of the owner, so that the random runs no longer noticed the failpoint within 30 plans. It now switches off both.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use crate::cell::Cell;
+use crate::failpoint::{Failpoint, active};
 use crate::ids::{Endpoint, Map, Node};
 use crate::lease::Level;
 use crate::owner::{PeerView, Resource};
@@ -172,7 +173,7 @@
         let Ok(at) = pool.members.binary_search(&row.name) else { return };
         if row.owner.is_some() {
             let mut view = row.view.clone();
-            view.leaving |= row.leaving;
+            view.leaving |= row.leaving && !active(Failpoint::GrantLeaving);
             pool.cell.on_view(row.seen, at, view);
         }
     }
