Send the edge role's counters through the project's metrics

The role kept a table of counters of its own beside the metrics macro on cadence. It now sends the same counters as the other roles, to a sink that adds them up for GET /metrics. A new version of an adapter enters the depot's wants as the holder's own, not under the name of a node.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -14,7 +14,7 @@
 use crate::endpoints::Ended;
 use crate::flight::Flight;
 use crate::http::Answer;
-use crate::record::Record;
+use crate::record::{ANSWERED, BROKEN, Record};
 use crate::time::Ms;
 
 /// Body of an answer.
@@ -88,7 +88,7 @@
     }
 
     fn broken(&mut self, why: &str) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.record.outcome("stream_broken", why);
+        self.record.outcome(BROKEN, why);
         Poll::Ready(Some(Err(io::Error::other(why.to_owned()))))
     }
 
@@ -113,7 +113,7 @@
                 }
                 self.flight.answered();
                 self.flight.ended(Ended::Answered);
-                self.record.outcome("answered", "stream complete");
+                self.record.outcome(ANSWERED, "stream complete");
                 Poll::Ready(None)
             }
             Poll::Pending => {
--- a/src/depot.rs
+++ b/src/depot.rs
@@ -29,6 +29,8 @@
 const OVERDUE: Ms = Ms(1_500);
 /// Time for which a node's word that requests wait counts; nodes repeat it thrice.
 const WORD: Ms = Ms(260);
+/// Stands for no node: the holder itself replaces an adapter.
+const RENEWER: &str = "";
 /// Time for which an adapter with a new version is to be replaced.
 const RENEWAL: Ms = Ms(4_000);
 /// Wait that a new want counts with.
@@ -223,9 +225,22 @@
 
     /// Requests wait for an adapter; true if it is in place.
     pub fn want(&mut self, now: Ms, want: &Want<'_>) -> bool {
-        if self.use_at(now, want.adapter, want.version) {
-            return true;
+        let there = self.use_at(now, want.adapter, want.version);
+        if !there {
+            self.note(now, want, now + WORD);
         }
+        there
+    }
+
+    /// A new version of an adapter has been named; it is to be replaced if in place.
+    pub fn replace(&mut self, now: Ms, adapter: &Rc<str>, version: u64) {
+        if self.held.get(adapter).is_some_and(|s| s.version != version) {
+            let want = Want { adapter, version: Some(version), node: RENEWER, waiters: 1 };
+            self.note(now, &want, now + RENEWAL);
+        }
+    }
+
+    fn note(&mut self, now: Ms, want: &Want<'_>, until: Ms) {
         let at = match self.wants.iter().position(|w| w.adapter == *want.adapter) {
             Some(at) => at,
             None => {
@@ -237,17 +252,7 @@
         let wanted = &mut self.wants[at];
         wanted.version = wanted.version.max(want.version);
         wanted.nodes.retain(|(node, ..)| **node != *want.node);
-        wanted.nodes.push((Rc::from(want.node), want.waiters, now + WORD));
-        false
-    }
-
-    /// A new version of an adapter in place has been named.
-    pub fn replace(&mut self, now: Ms, adapter: &Rc<str>, version: u64) {
-        let want = Want { adapter, version: Some(version), node: "", waiters: 1 };
-        self.want(now, &want);
-        if let Some(w) = self.wants.iter_mut().find(|w| w.adapter == *adapter) {
-            w.nodes.push((Rc::from("renewal"), 1, now + RENEWAL));
-        }
+        wanted.nodes.push((Rc::from(want.node), want.waiters, until));
     }
 
     /// Records the use of an adapter; true if it is in place in that version.
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -18,15 +18,16 @@
 use crate::depot::Depot;
 use crate::endpoints::Endpoints;
 use crate::error::{Error, Result};
+use crate::exposition::Exposition;
 use crate::http::{Http, HttpSettings};
 use crate::ids::Map;
+use crate::metrics::Metrics;
 use crate::platform::settings;
 use crate::resend::Resends;
 use crate::routing::Routing;
 use crate::share::Shares;
 use crate::sink::{self, decision};
 use crate::steward::Steward;
-use crate::tally::Tally;
 use crate::time::{BootClock, Clock, Ms, wall_clock};
 use crate::{front, mesh, orders, watching};
 
@@ -110,13 +111,15 @@
     pub(crate) listed: Cell<bool>,
     pub(crate) stopping: watch::Sender<bool>,
     pub(crate) in_flight: Cell<usize>,
-    pub(crate) tally: Tally,
+    pub(crate) metrics: Metrics,
+    pub(crate) exposition: Exposition,
 }
 
 impl Edge {
     fn new(deployment: Deployment, socket: UdpSocket) -> Self {
         let now = BootClock.now();
         let start = wall_clock().0;
+        let exposition = Exposition::default();
         let b = deployment.bounds;
         let steward = Steward::new(&deployment.node, start, b.turn + Ms(500), now);
         Self {
@@ -141,7 +144,8 @@
             listed: Cell::new(false),
             stopping: watch::Sender::new(false),
             in_flight: Cell::new(0),
-            tally: Tally::default(),
+            metrics: Metrics::with_sink(exposition.clone()),
+            exposition,
             deployment,
         }
     }
--- a/src/front.rs
+++ b/src/front.rs
@@ -145,9 +145,10 @@
         mesh::STATE => bytes(Bytes::from(mesh::state(&edge))),
         "/metrics" => {
             let (nodes, heard) = edge.heard(BootClock.now());
-            edge.tally.gauge("nodes", "counted", nodes as u64);
-            edge.tally.gauge("nodes", "heard", (heard * nodes as f64).round() as u64);
-            bytes(Bytes::from(edge.tally.text()))
+            edge.metrics.nodes(nodes as u64);
+            edge.metrics.heard((heard * nodes as f64).round() as u64);
+            edge.metrics.owned(edge.kept.borrow().len() as u64);
+            bytes(Bytes::from(edge.exposition.text()))
         }
         _ => plain(StatusCode::NOT_FOUND, ""),
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod entry;
 pub mod error;
 pub mod evidence;
+pub mod exposition;
 #[doc(hidden)]
 pub mod failpoint;
 pub mod faulty;
@@ -114,7 +115,6 @@
 pub mod steward;
 pub mod storage;
 pub mod takeover;
-pub mod tally;
 pub mod time;
 pub mod vmlist;
 mod watching;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -127,13 +127,17 @@
     counter load_failures() in "loads": "Adapter loads that failed.";
     counter load_stalls(team) in "requests": "Requests that waited for an adapter load.";
     counter loads() in "loads": "Adapter loads ordered.";
+    counter failures(team, route) in "answers": "Answers that were an endpoint's own failure.";
+    gauge heard() in "nodes": "Nodes that count for the teams' limits and are heard, this one included.";
     gauge memory() in "bytes": "Resident memory of the process.";
     histogram overhead(route) in "us": "Time that this node added to a request.";
+    gauge nodes() in "nodes": "Nodes that count for the teams' limits, this one included.";
     gauge owned() in "endpoints": "Endpoints that this node owns.";
     gauge quarantined() in "fingerprints": "Quarantined requests.";
     gauge queued(endpoint) in "requests": "Requests queued for an endpoint.";
     counter records_lost() in "records": "Refusal records lost.";
     counter refusals(team, reason) in "refusals": "Refusals, by team and reason.";
+    histogram request_time(route) in "ms": "Time from the request to the end of its answer.";
     counter requests(team, route) in "requests": "Requests received.";
     counter resumes() in "streams": "Streams resumed at their offset.";
     counter retries(reason) in "attempts": "Attempts after the first, by reason.";
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -54,15 +54,6 @@
     fn took(&mut self, time: Ms) {
         self.usual += ORDER_SAMPLE * (time.0 as f64 - self.usual);
     }
-
-    /// Asks for the new version of an adapter that is in place in another one.
-    pub(crate) fn renew(&mut self, now: Ms, adapter: &Rc<str>, version: u64) {
-        let held = self.depot.held().any(|(a, v)| a == adapter && v != version);
-        if held {
-            self.depot.replace(now, adapter, version);
-            self.wake.notify_one();
-        }
-    }
 }
 
 /// Adapters that an endpoint may hold; 0 if its service runs none.
@@ -310,6 +301,12 @@
         }
         _ => {
             let met = perform(edge, id, &step, accepted, fence).await;
+            match (&step, met) {
+                (Step::Load(..), Met::Accepted) => edge.metrics.loads(1),
+                (Step::Load(..), Met::Lost | Met::Refused) => edge.metrics.load_failures(1),
+                (Step::Unload(_), Met::Holds) => edge.metrics.evictions(1),
+                _ => {}
+            }
             let arrived = {
                 let mut kept = edge.kept.borrow_mut();
                 let Some(k) = kept.get_mut(id) else { return };
--- a/src/record.rs
+++ b/src/record.rs
@@ -6,6 +6,17 @@
 use crate::sink::decision;
 use crate::time::{BootClock, Clock, Ms};
 
+/// The caller has the whole answer.
+pub(crate) const ANSWERED: &str = "answered";
+/// The caller has an endpoint's own failure.
+pub(crate) const FAILED: &str = "failed";
+/// The caller has a refusal or a failure of the system's own.
+pub(crate) const REFUSED: &str = "refused";
+/// The answer ended before its end.
+pub(crate) const BROKEN: &str = "stream_broken";
+/// The caller left first.
+pub(crate) const LEFT: &str = "caller_left";
+
 /// What is known of a request; logged when it is dropped.
 pub(crate) struct Record {
     edge: Rc<Edge>,
@@ -56,7 +67,8 @@
         if self.first.is_none() {
             let ms = BootClock.now().since(self.begun);
             self.first = Some(ms);
-            self.edge.tally.time("first_event", ms.0);
+            let route = self.route.as_deref().unwrap_or_default();
+            self.edge.metrics.first_token(ms.0, route);
         }
     }
 
@@ -64,14 +76,27 @@
     pub(crate) fn outcome(&mut self, outcome: &'static str, why: &str) {
         self.outcome = Some((outcome, why.to_owned()));
     }
+
+    fn count(&self, outcome: &str, why: &str, took: u64) {
+        let team = self.team.as_deref().unwrap_or_default();
+        let route = self.route.as_deref().unwrap_or_default();
+        let metrics = &self.edge.metrics;
+        metrics.requests(1, team, route);
+        metrics.request_time(took, route);
+        match outcome {
+            ANSWERED => metrics.answers(1, team, route),
+            FAILED => metrics.failures(1, team, route),
+            REFUSED => metrics.refusals(1, team, why),
+            other => metrics.cancelled(1, other),
+        }
+    }
 }
 
 impl Drop for Record {
     fn drop(&mut self) {
-        let (outcome, why) = self.outcome.take().unwrap_or(("caller_left", String::new()));
+        let (outcome, why) = self.outcome.take().unwrap_or((LEFT, String::new()));
         let took = BootClock.now().since(self.begun).0;
-        self.edge.tally.count("requests", outcome);
-        self.edge.tally.time("request", took);
+        self.count(outcome, &why, took);
         decision!("request", "id": self.attempt, "route": self.route.as_deref(),
             "team": self.team.as_deref(), "config": self.config, "steps": self.steps,
             "cost": self.cost, "status": self.status, "outcome": outcome, "why": why,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::http::{Answer, SendError};
 use crate::ids::stable_hash;
 use crate::platform::headers::{self, Ask, Reply, Sent};
-use crate::record::Record;
+use crate::record::{ANSWERED, FAILED, LEFT, REFUSED, Record};
 use crate::routing::{Route, Routing, Team};
 use crate::sink::decision;
 use crate::time::{BootClock, Clock, Ms};
@@ -73,21 +73,20 @@
         Ok(Answered::Whole(response)) => {
             record.status = response.status().as_u16();
             if !response.status().is_server_error() {
-                record.outcome("answered", "whole");
+                record.outcome(ANSWERED, "whole");
             }
             response.map(|b| AnswerBody::Whole(Some(b), Some(guard)))
         }
         Ok(Answered::Events(answer)) => {
             let (head, stream) = answer.into_parts();
             record.status = head.status.as_u16();
-            record.outcome("caller_left", "during the stream");
+            record.outcome(LEFT, "during the stream");
             let events = stream.attach(record, guard);
             Response::from_parts(head, AnswerBody::Events(Box::new(events)))
         }
         Err(refusal) => {
             record.status = refusal.status.as_u16();
-            record.outcome("refused", refusal.reason);
-            edge.tally.count("refusals", refusal.reason);
+            record.outcome(REFUSED, refusal.reason);
             let mut response = plain(refusal.status, refusal.reason);
             if let Some(after) = refusal.after {
                 headers::retry_after(response.headers_mut(), after);
@@ -277,6 +276,15 @@
     Failed(Response<Bytes>),
 }
 
+impl Miss {
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::Unrun(why) | Self::Unknown(why) => why,
+            Self::Failed(_) => "failed",
+        }
+    }
+}
+
 async fn send_until_answered(
     edge: &Rc<Edge>,
     job: &Job<'_>,
@@ -296,6 +304,7 @@
                 record.step("resend_budget_spent".to_owned());
                 break;
             }
+            edge.metrics.retries(1, last.reason());
         }
         let placed = place(edge, job, routing, &tried, record).await;
         let (choice, version) = match placed {
@@ -307,11 +316,7 @@
             Ok(answered) => return Ok(answered),
             Err(miss) => miss,
         };
-        let (why, may_have_run) = match &miss {
-            Miss::Unrun(why) => (*why, false),
-            Miss::Unknown(why) => (*why, true),
-            Miss::Failed(_) => ("failed", true),
-        };
+        let (why, may_have_run) = (miss.reason(), !matches!(miss, Miss::Unrun(_)));
         record.step(format!("missed {} {why}", choice.id));
         if why != "adapter_absent" {
             tried.push(choice.id.clone());
@@ -330,7 +335,7 @@
     }
     match last {
         Miss::Failed(response) => {
-            record.outcome("failed", "endpoint");
+            record.outcome(FAILED, "endpoint");
             Ok(Answered::Whole(response))
         }
         Miss::Unrun(why) => Err(Refusal::unavailable(why, AFTER)),
@@ -370,6 +375,9 @@
     for _ in 0..PLACES {
         let choice = pick(edge, job, &need, record)?;
         let Some(adapter) = adapter.map(Rc::from) else { return Ok((choice, None)) };
+        if choice.load {
+            edge.metrics.load_stalls(1, job.team.as_ref().map_or("", |t| &*t.name));
+        }
         let brought = match choice.load {
             true => bring(edge, &choice.id, &adapter, version, until).await,
             false => Brought::InPlace,
--- a/src/watching.rs
+++ b/src/watching.rs
@@ -224,6 +224,7 @@
         "source": source, "teams": rates(&routing));
     let teams = routing.teams().iter().map(|t| &**t);
     edge.shares.borrow_mut().know(BootClock.now(), teams);
+    edge.metrics.serial(routing.version);
     edge.document.replace(bytes);
     edge.routing.replace(Rc::new(routing));
 }
@@ -243,7 +244,8 @@
     decision!("version_named", "adapter": v.name, "version": v.version);
     versions.insert(name.clone(), (v.version, now));
     for k in edge.kept.borrow_mut().values_mut() {
-        k.renew(now, &name, v.version);
+        k.depot.replace(now, &name, v.version);
+        k.wake.notify_one();
     }
 }
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -272,9 +272,12 @@
         edge_fixture::exchange(node.inner, b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n").await;
     let text = page.unwrap().body;
     for line in [
-        "sycamorefork_requests{kind=\"answered\"} 1",
-        "sycamorefork_refusals{kind=\"no_route\"} 1",
-        "sycamorefork_request_ms_count 2",
+        "sycamorefork_requests{team=\"studio\",route=\"look\"} 1",
+        "sycamorefork_answers{team=\"studio\",route=\"look\"} 1",
+        "sycamorefork_refusals{team=\"\",reason=\"no_route\"} 1",
+        "sycamorefork_request_time_count{route=\"look\"} 1",
+        "sycamorefork_request_time_count{route=\"\"} 1",
+        "sycamorefork_serial 3",
     ] {
         assert!(text.contains(line), "{line} in {text}");
     }
@@ -311,8 +314,7 @@
         until("the other is heard and listed", || async {
             let page = b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n";
             let text = edge_fixture::exchange(node.inner, page).await.unwrap().body;
-            text.contains("sycamorefork_nodes{kind=\"counted\"} 2")
-                && text.contains("sycamorefork_nodes{kind=\"heard\"} 2")
+            text.contains("sycamorefork_nodes 2") && text.contains("sycamorefork_heard 2")
         })
         .await;
     }
