--- a/src/share.rs
+++ b/src/share.rs
@@ -22,6 +22,8 @@
 const AFTER_MAX: Ms = Ms::secs(5);
 /// Shortest time that a caller is told to wait, about that of a connection.
 const AFTER_MIN: Ms = Ms(50);
+/// Time over which the returns of callers that are refused at once are spread.
+const SPREAD: Ms = Ms(1_000);
 /// Time constant of the measured demand; two beats.
 const DEMAND: Ms = Ms(400);
 /// Overdraft beyond the burst that is paid back, in seconds of the rate; more would close
@@ -166,7 +168,7 @@
         let first = now + Ms((missing / rate * 1_000.0) as u64).clamp(AFTER_MIN, AFTER_MAX);
         let own_rate = rate * self.part(now);
         let turn = self.back.max(first);
-        self.back = (turn + Ms((cost / own_rate * 1_000.0) as u64)).min(now + AFTER_MAX);
+        self.back = (turn + Ms((cost / own_rate * 1_000.0) as u64)).min(first + SPREAD);
         turn.since(now)
     }
 }
