--- a/src/share.rs
+++ b/src/share.rs
@@ -149,12 +149,15 @@
         self.refill(now, reach);
         let own_rate = self.rate * reach.part() * self.part(now);
         let gain = own_rate * now.since(last).0 as f64 / 1_000.0;
-        self.own = (self.own + gain).min(own_rate * DEMAND.0 as f64 / 1_000.0);
+        let own_burst = own_rate * DEMAND.0 as f64 / 1_000.0;
+        self.own = (self.own + gain).min(own_burst);
         // A request above the whole burst waits for a full bucket.
         let needed = cost.min(self.burst * reach.part());
         let left_over = self.level - self.unseen(now);
-        if self.level < needed || (left_over < needed && self.own <= 0.0) {
-            return Err((needed - left_over).min(-self.own).max(needed - self.level));
+        if self.level < needed || (left_over < needed && self.own < cost.min(own_burst)) {
+            return Err((needed - left_over)
+                .min(cost.min(own_burst) - self.own)
+                .max(needed - self.level));
         }
         self.level -= cost;
         self.own = (self.own - cost).max(-cost);
