--- a/src/share.rs
+++ b/src/share.rs
@@ -22,8 +22,9 @@
 const AFTER_MAX: Ms = Ms::secs(5);
 /// Shortest time that a caller is told to wait, about that of a connection.
 const AFTER_MIN: Ms = Ms(50);
-/// Time over which the returns of callers that are refused at once are spread.
-const SPREAD: Ms = Ms(1_000);
+/// Time over which the returns of refused callers are spread; a beat, after which nodes
+/// know what was spent.
+const SPREAD: Ms = Ms(200);
 /// Time constant of the measured demand; two beats.
 const DEMAND: Ms = Ms(400);
 /// Overdraft beyond the burst that is paid back, in seconds of the rate; more would close
