--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::failpoint::{Failpoint, active};
 use crate::ids::Map;
 use crate::time::Ms;
 
@@ -162,7 +163,7 @@
 
     /// Whether new work may be sent to it.
     pub fn usable(&self) -> bool {
-        !self.entry.leaving && !self.gone
+        (!self.entry.leaving && !self.gone) || active(Failpoint::GrantLeaving)
     }
 
     /// Whether it is left alone after failures.
--- a/src/failpoint.rs
+++ b/src/failpoint.rs
@@ -22,9 +22,11 @@
     GrantLeaving,
     /// An attempt that was sent counts as not run.
     FalseNotRun,
+    /// What may have run is sent again though its route forbids it.
+    ResendSent,
 }
 
-/// All failpoints.
+/// Failpoints of the model that the random tests drive.
 pub const FAILPOINTS: [Failpoint; 7] = [
     Failpoint::SkipPin,
     Failpoint::SkipClaim,
@@ -35,6 +37,26 @@
     Failpoint::FalseNotRun,
 ];
 
+/// Failpoints of an edge node.
+pub const EDGE_FAILPOINTS: [Failpoint; 5] = [
+    Failpoint::IgnoreFence,
+    Failpoint::LowerSerial,
+    Failpoint::GrantLeaving,
+    Failpoint::FalseNotRun,
+    Failpoint::ResendSent,
+];
+
+/// Environment variable that names the failpoint of an edge node.
+pub const VARIABLE: &str = "SYCAMOREFORK_FAILPOINT";
+
+/// Breaks the mechanism that [`VARIABLE`] names, in debug builds.
+pub fn set_from_environment() {
+    let Ok(name) = std::env::var(VARIABLE) else { return };
+    let found = EDGE_FAILPOINTS.into_iter().find(|f| format!("{f:?}") == name);
+    log::warn!("{VARIABLE}={name}: {found:?}");
+    set(found);
+}
+
 thread_local! {
     static SET: Cell<Option<Failpoint>> = const { Cell::new(None) };
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
             return ExitCode::from(1);
         }
     };
+    sycamorefork::failpoint::set_from_environment();
     let local = tokio::task::LocalSet::new();
     match local.block_on(&runtime, sycamorefork::edge::run(path)) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::choice::{Choice, Need, choose};
 use crate::edge::Edge;
 use crate::endpoints::Ended;
+use crate::failpoint::{Failpoint, active};
 use crate::flight::Flight;
 use crate::front::plain;
 use crate::http::{Answer, SendError};
@@ -331,7 +332,8 @@
             (kept @ (Miss::Unknown(_) | Miss::Failed(_)), Miss::Unrun(_)) => kept,
             (_, miss) => miss,
         };
-        if may_have_run && (!job.route.kind.repeatable() || ran >= job.route.attempts) {
+        let repeatable = job.route.kind.repeatable() || active(Failpoint::ResendSent);
+        if may_have_run && (!repeatable || ran >= job.route.attempts) {
             break;
         }
     }
@@ -341,6 +343,9 @@
             Ok(Answered::Whole(response))
         }
         Miss::Unrun(why) => Err(Refusal::unavailable(why, AFTER)),
+        Miss::Unknown(why) if active(Failpoint::FalseNotRun) => {
+            Err(Refusal::unavailable(why, AFTER))
+        }
         Miss::Unknown(why) if job.left() <= RESERVE => {
             Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, why))
         }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use crate::failpoint::{Failpoint, active};
 use crate::ids::Map;
 use crate::time::Ms;
 
@@ -209,7 +210,7 @@
 
     /// Whether this version replaces `current`; an older one never does.
     pub fn replaces(&self, current: &Self) -> bool {
-        self.version > current.version
+        self.version > current.version || active(Failpoint::LowerSerial)
     }
 
     /// The route of a host with the longest prefix that matches the path.
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use crate::choice::home;
+use crate::failpoint::{Failpoint, active};
 use crate::ids::{Map, Set};
 use crate::time::Ms;
 
@@ -191,7 +192,8 @@
     /// Fence of orders to an endpoint, if this node may give them now.
     pub fn fence(&self, now: Ms, endpoint: &str) -> Option<u64> {
         let mine = self.mine.get(endpoint)?;
-        (self.leased(now) && now >= mine.from).then_some(mine.fence)
+        let may = self.leased(now) && now >= mine.from;
+        (may || active(Failpoint::IgnoreFence)).then_some(mine.fence)
     }
 
     /// Endpoints that this node holds.
--- a/standin/src/instance.rs
+++ b/standin/src/instance.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -44,6 +44,8 @@
     pub path: String,
     /// Body.
     pub body: Vec<u8>,
+    /// When it began.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -237,6 +239,7 @@
         headers: request.headers.clone(),
         path: request.path.clone(),
         body: request.body.clone(),
+        at: Instant::now(),
     });
     let named = if fault == Fault::Foreign { "ffff" } else { &attempt };
     let head = format!("X-Attempt-Id: {named}\r\nX-Server-Seal: seal.{id}.{attempt}\r\n");
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,8 +3,10 @@
 //! The stand-ins for the endpoints are the sample engine and service of the main
 //! package, which its demo uses as well.
 
+pub mod caller;
 pub mod instance;
 pub mod load;
+pub mod node;
 pub mod plain;
 pub mod platform;
 pub mod report;
@@ -12,3 +14,4 @@
 pub mod store;
 pub mod table;
 pub mod weights;
+pub mod world;
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,14 +1,14 @@
 //! Edge nodes as processes, before stand-ins of the platform.
 
-mod edge_fixture;
-
 use std::process::Command;
 use std::time::Duration;
 
-use edge_fixture::{Ask, KEY, Node, World, document, settings, until};
 use serde_json::json;
+use standin::caller::{Ask, KEY, exchange, until};
 use standin::instance::Fault;
+use standin::node::{Addresses, Node, program, settings};
 use standin::rows;
+use standin::world::{World, document};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -195,9 +195,9 @@
     let world = World::start().await;
     let mut node = Node::start("edge-stop", world.store()).await;
     world.assist.stream(30, Duration::from_millis(100));
-    let front = node.front;
+    let front = node.at.front;
     let ask = Ask::new("POST /ask/1", "s1").bytes();
-    let stream = tokio::spawn(async move { edge_fixture::exchange(front, &ask).await });
+    let stream = tokio::spawn(async move { exchange(front, &ask).await });
     until("the stream runs", || async { !world.assist.runs().is_empty() }).await;
     node.terminate();
     sleep(Duration::from_millis(300)).await;
@@ -217,7 +217,7 @@
     let world = World::start().await;
     let node = Node::start("edge-gone", world.store()).await;
     world.assist.stream(1_000, Duration::from_millis(50));
-    let mut caller = TcpStream::connect(node.front).await.unwrap();
+    let mut caller = TcpStream::connect(node.at.front).await.unwrap();
     caller.write_all(&Ask::new("POST /ask/1", "t1").bytes()).await.unwrap();
     until("the stream runs", || async { !world.assist.runs().is_empty() }).await;
     drop(caller);
@@ -252,13 +252,12 @@
     let first = Node::start("edge-first", world.store()).await;
     world.rows.fault(rows::Fault::Refuses(503));
     // Nodes of one test share an address, so the second one names the first as its peer.
-    let second = Node::start_unready("edge-second", world.store(), None);
+    let second = Node::start_unready("edge-second", world.store());
     sleep(Duration::from_millis(500)).await;
     assert!(!second.is_ready().await);
     let answer = Ask::new("GET /look/1", "x1").send(&second).await;
     assert_eq!((answer.status, answer.body.as_str()), (503, "no_configuration"));
-    let state =
-        edge_fixture::exchange(first.inner, b"GET /state HTTP/1.1\r\nHost: p\r\n\r\n").await;
+    let state = exchange(first.at.inner, b"GET /state HTTP/1.1\r\nHost: p\r\n\r\n").await;
     assert!(state.unwrap().body.contains("desk.example"));
 }
 
@@ -268,8 +267,7 @@
     let node = Node::start("edge-metrics", world.store()).await;
     Ask::new("GET /look/1", "y1").send(&node).await;
     Ask::new("GET /nowhere/1", "y2").send(&node).await;
-    let page =
-        edge_fixture::exchange(node.inner, b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n").await;
+    let page = exchange(node.at.inner, b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n").await;
     let text = page.unwrap().body;
     for line in [
         "sycamorefork_requests{team=\"studio\",route=\"look\"} 1",
@@ -285,15 +283,12 @@
 
 #[test]
 fn settings_without_fields_end_the_program_with_a_status_of_its_own() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let (mut value, _node) =
-        runtime.block_on(async { settings("edge-bad", "127.0.0.1:9".parse().unwrap(), None) });
+    let mut value = settings("edge-bad", &Addresses::free(), "127.0.0.1:9".parse().unwrap());
     value.as_object_mut().unwrap().remove("NodeName");
     value["Platform"] = json!({"Address": 7});
     let path = std::env::temp_dir().join(format!("edge-bad-{}.json", std::process::id()));
     std::fs::write(&path, value.to_string()).unwrap();
-    let program = env!("CARGO_BIN_EXE_sycamorefork");
-    let output = Command::new(program).args(["edge", "--settings"]).arg(&path).output().unwrap();
+    let output = Command::new(program()).args(["edge", "--settings"]).arg(&path).output().unwrap();
     assert_eq!(output.status.code(), Some(4));
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
     assert_eq!(text.trim(), "settings: missing or malformed: NodeName, Platform.Address");
@@ -304,8 +299,8 @@
 #[tokio::test]
 async fn nodes_that_start_together_list_each_other() {
     let world = World::start().await;
-    let first = Node::start_unready("edge-pair-1", world.store(), None);
-    let second = Node::start_unready("edge-pair-2", world.store(), None);
+    let first = Node::start_unready("edge-pair-1", world.store());
+    let second = Node::start_unready("edge-pair-2", world.store());
     for node in [&first, &second] {
         node.until_ready().await;
     }
@@ -313,7 +308,7 @@
     for node in [&first, &second] {
         until("the other is heard and listed", || async {
             let page = b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n";
-            let text = edge_fixture::exchange(node.inner, page).await.unwrap().body;
+            let text = exchange(node.at.inner, page).await.unwrap().body;
             text.contains("sycamorefork_nodes 2") && text.contains("sycamorefork_heard 2")
         })
         .await;
