--- /dev/null
+++ b/soak/tests/check.rs
@@ -0,0 +1,106 @@
+//! The checks of the soak on histories written by hand: each finds what it is for.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use soak::callers::{Kind, Sent};
+use soak::check::{Config, History, Left, check};
+use soak::plan::plan;
+use standin::caller::Answer;
+use standin::instance::Run;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn answer(status: u16, body: &str) -> Option<Answer> {
+    Some(Answer { status, headers: HashMap::new(), body: body.to_owned(), whole: true })
+}
+
+/// A request of a kind at a time, answered 20 ms later.
+fn sent(kind: Kind, at: Instant, answer: Option<Answer>) -> Sent {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    let attempt = format!("a{}", COUNT.fetch_add(1, Ordering::Relaxed));
+    let (begun, ended) = (at, at + ms(20));
+    Sent { attempt, kind, node: 0, start: Some(1), key: None, begun, ended, answer }
+}
+
+fn run(attempt: &str, at: Instant, team: &str) -> (String, Run) {
+    let headers = HashMap::from([("x-tenant".to_owned(), team.to_owned())]);
+    let (path, body) = ("/".to_owned(), Vec::new());
+    ("i-0".to_owned(), Run { attempt: attempt.to_owned(), headers, path, body, at })
+}
+
+/// The findings, by the word that each begins with.
+fn words(history: &History) -> Vec<String> {
+    let word = |l: String| l.split(':').next().unwrap().to_owned();
+    check(history).into_iter().map(word).collect()
+}
+
+#[test]
+fn answers_are_checked_against_runs() {
+    let now = Instant::now();
+    let twice = sent(Kind::Write, now, None);
+    let foreign = sent(Kind::Read, now, answer(200, "answer to another"));
+    let untrue = sent(Kind::Write, now, answer(503, "no_endpoint"));
+    let torn = sent(Kind::Stream, now, answer(200, "id: 0\ndata: token\n\nid: 2\ndata: token\n\n"));
+    let mut fine = sent(Kind::Write, now, None);
+    fine.answer = answer(200, &format!("answer to {}", fine.attempt));
+    let all = [&twice, &twice, &foreign, &untrue, &torn, &fine];
+    let runs = all.map(|s| run(&s.attempt, now, "studio")).to_vec();
+    let history =
+        History { sent: vec![twice, foreign, untrue, torn, fine], runs, ..History::default() };
+    assert_eq!(words(&history), ["once", "own answer", "not run", "own answer"]);
+}
+
+#[test]
+fn work_after_a_leave_is_found_where_nodes_could_know() {
+    let now = Instant::now();
+    let left = vec![Left { endpoint: "i-0".to_owned(), at: now }];
+    let runs = vec![run("a", now + ms(2_000), "studio"), run("b", now + ms(3_000), "studio")];
+    let mut history = History { left, runs, ..History::default() };
+    assert_eq!(words(&history), ["leave"]);
+    history.hidden = vec![(now + ms(1_500), now + ms(1_600))];
+    assert!(words(&history).is_empty());
+}
+
+#[test]
+fn older_configurations_are_found() {
+    let now = Instant::now();
+    let configs = vec![Config { version: 3, at: now }, Config { version: 4, at: now + ms(1_000) }];
+    let with = |key, at| {
+        let mut s = sent(Kind::Read, now + ms(at), None);
+        s.answer = answer(200, &format!("answer to {}", s.attempt));
+        s.key = Some(key);
+        s
+    };
+    let sent = vec![with(3, 900), with(4, 1_500), with(3, 1_600), with(3, 4_000)];
+    let runs = sent.iter().map(|s| run(&s.attempt, s.begun, "studio")).collect();
+    let history = History { sent, runs, configs, ..History::default() };
+    assert_eq!(words(&history), ["older", "key", "older"]);
+}
+
+#[test]
+fn limits_and_holders_are_checked() {
+    let now = Instant::now();
+    let at = |n: u64| now + ms(n * 20);
+    let runs = (0..400).map(|n| run("m", at(n), "meter")).collect();
+    let order = |fence: u64, holder: &str| json!({"FencingToken": fence, "Holder": holder});
+    let late = vec![order(1, "x"), order(2, "y"), order(1, "x")];
+    let two = vec![order(1, "x"), order(1, "y")];
+    let orders = vec![("i-2".to_owned(), late), ("i-3".to_owned(), two)];
+    let history = History { runs, orders, ..History::default() };
+    assert_eq!(words(&history), ["limit", "holder", "holder"]);
+}
+
+// The plan of a seed must not change unnoticed: regression cases name seeds.
+#[test]
+fn plan_follows_from_the_seed() {
+    let lines: Vec<String> =
+        plan(2, 20_000).iter().map(|e| format!("{} {} {:?}", e.at, e.end, e.fault)).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+    assert_eq!(plan(2, 20_000), plan(2, 20_000));
+    assert_ne!(plan(2, 20_000), plan(3, 20_000));
+}
