Refusals can be read by callers that still send; a changed settings file is read again

A connection that is closed with unread data is reset, and a caller that sends 40 MB lost its 413 or 404 (the new test failed: broken pipe). The rest of a body is now read and thrown away, up to 64 MB and five seconds.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,19 +5,21 @@
 use soak::{check, fleet, plan};
 
 const USAGE: &str = "\
-soak [--seed N] [--seeds N] [--seconds N | --minutes N] [--break FAILPOINT]
+soak [--seed N] [--seeds N] [--seconds N | --minutes N] [--break FAILPOINT] [--plan]
 
   --seed N        first seed (1)
   --seeds N       number of seeds, one after the other (1)
   --seconds N     length of a seed's run (30)
   --minutes N     length of a seed's run
-  --break NAME    mechanism of the nodes to break on purpose, in debug builds";
+  --break NAME    mechanism of the nodes to break on purpose, in debug builds
+  --plan          print the faults of each seed and run nothing";
 
 struct Options {
     seed: u64,
     seeds: u64,
     length: u64,
     broken: Option<String>,
+    plan: bool,
 }
 
 fn options() -> Result<Options, pico_args::Error> {
@@ -29,6 +31,7 @@
         seeds: args.opt_value_from_str("--seeds")?.unwrap_or(1),
         length: minutes.map_or(seconds, |m| m * 60) * 1_000,
         broken: args.opt_value_from_str("--break")?,
+        plan: args.contains("--plan"),
     };
     match args.finish().as_slice() {
         [] => Ok(options),
@@ -38,6 +41,12 @@
     }
 }
 
+fn print_plan(events: &[plan::Event]) {
+    for e in events {
+        println!("  {:>6} to {:>6} ms  {:?}", e.at, e.end, e.fault);
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = match options() {
@@ -50,6 +59,11 @@
     let mut wrong = 0;
     for seed in options.seed..options.seed + options.seeds {
         let events = plan::plan(seed, options.length);
+        if options.plan {
+            println!("seed {seed}:");
+            print_plan(&events);
+            continue;
+        }
         let history = fleet::run(seed, options.length, &events, options.broken.as_deref()).await;
         let found = check::check(&history);
         println!("seed {seed}: {}; {} findings", history.summary(), found.len());
@@ -58,9 +72,7 @@
         }
         if !found.is_empty() {
             wrong += 1;
-            for e in &events {
-                println!("  {:>6} to {:>6} ms  {:?}", e.at, e.end, e.fault);
-            }
+            print_plan(&events);
         }
     }
     ExitCode::from(u8::from(wrong > 0))
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -41,6 +41,9 @@
 /// Interval of the housekeeping of connections and logs.
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
 
+/// Interval at which the settings file is looked at; its source, the platform, replaces it
+/// without a signal at times.
+const LOOK: Duration = Duration::from_secs(1);
 /// Bounds of the connections to endpoints, the store and peers.
 const CLIENT: HttpSettings = HttpSettings {
     // Callers allow themselves a second for a connection.
@@ -258,22 +261,36 @@
     let signal = |kind| tokio::signal::unix::signal(kind).map_err(|e| Error::io("signals", e));
     let mut term = signal(tokio::signal::unix::SignalKind::terminate())?;
     let mut hup = signal(tokio::signal::unix::SignalKind::hangup())?;
+    let mut look = tokio::time::interval(LOOK);
+    let mut written = modified(path);
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => reload(path),
+            _ = hup.recv() => reload(path, "signal"),
+            _ = look.tick() => {
+                let now = modified(path);
+                if now != written {
+                    reload(path, "change");
+                }
+                written = now;
+            }
         }
     }
     stop(&edge).await;
     Ok(())
 }
 
+/// When a file was written last; none while it cannot be looked at, as during a replacement.
+fn modified(path: &str) -> Option<std::time::SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
 /// Reads the settings file again. Addresses and limits apply from the next start;
 /// a file that is not usable changes nothing.
-fn reload(path: &str) {
+fn reload(path: &str, cause: &str) {
     let text = std::fs::read_to_string(path).map_err(|e| Error::input(path, e));
     match text.and_then(|t| settings::decode(&t)) {
-        Ok(_) => decision!("settings_reloaded"),
-        Err(e) => decision!("settings_refused", "error": e.to_string()),
+        Ok(_) => decision!("settings_reloaded", "cause": cause),
+        Err(e) => decision!("settings_refused", "cause": cause, "error": e.to_string()),
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
 use crate::admission::{Admission, admit};
@@ -38,6 +39,11 @@
 const PLACES: usize = 3;
 /// Largest body of a request before a configuration states one.
 const BODY: usize = 16 << 20;
+/// Bytes of a refused request's body that are read and thrown away; beyond every limit
+/// in use, so that only a caller that goes on regardless is cut off.
+const DROPPED: usize = 64 << 20;
+/// Time for which a refused request's body is read and thrown away.
+const DROPPED_FOR: Ms = Ms::secs(5);
 /// Part of the idle time that an endpoint states which is left unused.
 const IDLE_MARGIN: Ms = Ms(800);
 /// Longest time that a connection to an endpoint is kept idle.
@@ -170,11 +176,12 @@
     record: &mut Record,
 ) -> std::result::Result<Answered, Refusal> {
     let begun = BootClock.now();
+    let (parts, body) = request.into_parts();
+    let mut body = Unread(Some(body));
     let routing = edge.routing.borrow().clone();
     if routing.version == 0 {
         return Err(Refusal::unavailable("no_configuration", AFTER));
     }
-    let (parts, body) = request.into_parts();
     let route = routing.route(&ask.host, parts.uri.path());
     let route = route.ok_or(Refusal::new(StatusCode::NOT_FOUND, "no_route"))?.clone();
     record.route = Some(route.name.clone());
@@ -182,7 +189,7 @@
     record.team = team.as_ref().map(|t| t.name.clone());
     let limit = routing.limits.map_or(BODY, |l| l.body);
     let idle = routing.limits.map_or(IDLE, |l| l.idle);
-    let body = read_body(body, limit, idle).await?;
+    let body = read_body(&mut body, limit, idle).await?;
     let timeout = if route.timeout.0 > 0 { route.timeout } else { DEADLINE };
     let time = ask.deadline.unwrap_or(timeout).min(timeout);
     let cost = cost(team.as_deref(), ask);
@@ -241,8 +248,31 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize, idle: Ms) -> std::result::Result<Bytes, Refusal> {
+/// Body of a request. What has not been read when it is dropped is read and thrown away,
+/// up to a bound, so that a caller that is still sending can read its refusal: a connection
+/// that is closed with unread data is reset.
+struct Unread(Option<Incoming>);
+
+impl Drop for Unread {
+    fn drop(&mut self) {
+        let Some(body) = self.0.take().filter(|b| !b.is_end_stream()) else { return };
+        let mut rest = Limited::new(body, DROPPED);
+        spawn_local(async move {
+            // The refusal is logged with its request; whether the caller leaves meanwhile
+            // changes nothing.
+            let read = async { while let Some(Ok(_)) = rest.frame().await {} };
+            let _ = timeout(DROPPED_FOR.std(), read).await;
+        });
+    }
+}
+
+async fn read_body(
+    body: &mut Unread,
+    limit: usize,
+    idle: Ms,
+) -> std::result::Result<Bytes, Refusal> {
     let too_large = Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+    let Some(body) = body.0.as_mut() else { return Ok(Bytes::new()) };
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large);
     }
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,10 +1,10 @@
 //! Edge nodes as processes, before stand-ins of the platform.
 
-use std::process::Command;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use serde_json::json;
-use standin::caller::{Ask, KEY, exchange, until};
+use standin::caller::{Ask, HOST, KEY, exchange, read_answer, until};
 use standin::instance::Fault;
 use standin::node::{Addresses, Node, program, settings};
 use standin::rows;
@@ -60,6 +60,29 @@
     ");
 }
 
+// A caller that sends its whole body before it reads finds the answer all the same.
+#[tokio::test]
+async fn refusal_of_a_large_body_can_be_read() {
+    let world = World::start().await;
+    let node = Node::start("edge-large", world.store()).await;
+    let cases = [("/enter/1", 413, "body_too_large"), ("/nowhere", 404, "no_route")];
+    for (path, status, reason) in cases {
+        let mut caller = TcpStream::connect(node.at.front).await.unwrap();
+        let length = 40 << 20;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: large\r\n\
+             Authorization: Token {KEY}\r\nContent-Length: {length}\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let piece = vec![b'x'; 1 << 20];
+        for _ in 0..length / piece.len() {
+            caller.write_all(&piece).await.expect("the node reads on");
+        }
+        let answer = read_answer(&mut caller).await.expect("an answer");
+        assert_eq!((answer.status, answer.body.as_str()), (status, reason));
+    }
+}
+
 #[tokio::test]
 async fn adapters_are_loaded_by_the_holder_and_streams_pass() {
     let world = World::start().await;
@@ -294,6 +317,25 @@
     assert_eq!(text.trim(), "settings: missing or malformed: NodeName, Platform.Address");
 }
 
+#[tokio::test]
+async fn changed_settings_file_is_read_again_without_a_signal() {
+    let world = World::start().await;
+    let mut value = settings("edge-file", &Addresses::free(), world.store());
+    let path = std::env::temp_dir().join(format!("edge-file-{}.json", std::process::id()));
+    std::fs::write(&path, value.to_string()).unwrap();
+    let mut command = Command::new(program());
+    command.args(["edge", "--settings"]).arg(&path).stdout(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    sleep(Duration::from_millis(1_500)).await;
+    value.as_object_mut().unwrap().remove("Zone");
+    std::fs::write(&path, value.to_string()).unwrap();
+    sleep(Duration::from_millis(2_500)).await;
+    child.kill().unwrap();
+    let text = String::from_utf8(child.wait_with_output().unwrap().stdout).unwrap();
+    let line = text.lines().find(|l| l.contains("settings_refused")).expect("a line");
+    assert!(line.contains("\"cause\":\"change\"") && line.contains("Zone"), "{line}");
+}
+
 // Nodes that start before there is a configuration find each other all the same; each
 // one then counts the other's admissions and neither holds all engines by itself.
 #[tokio::test]
