--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -22,6 +22,8 @@
 /// Time within which nodes must follow a leave and a configuration; the platform's
 /// `DrainMs` and `ConfigDeadlineMs`.
 const FOLLOW: Duration = Duration::from_millis(2_000);
+/// Time after trouble from which nodes must follow the store; the platform's `StableMs`.
+const STABLE: Duration = Duration::from_millis(3_000);
 /// Added to [`FOLLOW`] for what was on its way.
 const SLACK: Duration = Duration::from_millis(500);
 /// Events of a stream.
@@ -69,8 +71,7 @@
     /// nodes could see the store for long enough before.
     fn is_known(&self, from: Instant, at: Instant) -> bool {
         let since = at - FOLLOW - SLACK;
-        // After trouble, nodes reach the store again within a second.
-        let hides = |(a, b): &(Instant, Instant)| *a <= at && *b + Duration::from_secs(1) >= since;
+        let hides = |(a, b): &(Instant, Instant)| *a <= at && *b + STABLE >= since;
         from < since && !self.hidden.iter().any(hides)
     }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -9,7 +9,7 @@
 
   --seed N        first seed (1)
   --seeds N       number of seeds, one after the other (1)
-  --seconds N     length of a seed's run (30)
+  --seconds N     length of a seed's run (45)
   --minutes N     length of a seed's run
   --break NAME    mechanism of the nodes to break on purpose, in debug builds
   --plan          print the faults of each seed and run nothing";
@@ -25,7 +25,7 @@
 fn options() -> Result<Options, pico_args::Error> {
     let mut args = pico_args::Arguments::from_env();
     let minutes: Option<u64> = args.opt_value_from_str("--minutes")?;
-    let seconds = args.opt_value_from_str("--seconds")?.unwrap_or(30);
+    let seconds = args.opt_value_from_str("--seconds")?.unwrap_or(45);
     let options = Options {
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
         seeds: args.opt_value_from_str("--seeds")?.unwrap_or(1),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -19,12 +19,12 @@
 const LENGTH: (u64, u64) = (300, 2_500);
 /// Duration of a freeze, in ms: others take over what the node holds, after its lease of
 /// ten seconds.
-const FREEZE: (u64, u64) = (13_000, 16_000);
+const FREEZE: (u64, u64) = (17_000, 20_000);
 /// Fewest and most faults of a series.
 const SERIES: (u32, u32) = (3, 9);
 /// Time after a series and at the end without new faults, in ms: longer than the longest
-/// fault and the time within which nodes must follow the store.
-const CALM: u64 = 7_000;
+/// fault and the time after which nodes must know what the store holds.
+const CALM: u64 = 10_000;
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -28,9 +29,22 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-/// A free port of the loopback address.
+/// Ports that are tried; below those that the kernel gives to outgoing connections, which
+/// could take a port before the node listens on it.
+const PORTS: std::ops::Range<u32> = 20_000..32_000;
+
+/// A free port of the loopback address, another one at each call.
 fn free_port() -> u16 {
-    TcpListener::bind(loopback(0)).unwrap().local_addr().unwrap().port()
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    let count = PORTS.end - PORTS.start;
+    loop {
+        let n =
+            CALLS.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(61));
+        let port = (PORTS.start + n % count) as u16;
+        if TcpListener::bind(loopback(port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Where a node listens.
