--- a/src/sched.rs
+++ b/src/sched.rs
@@ -11,11 +11,12 @@
 
 use crate::error::Error;
 use crate::failpoint::{Failpoint, active};
-use crate::ids::{AdapterRef, AttemptId, Endpoint, Map, Set, Team};
+use crate::ids::{AdapterRef, AttemptId, Map, Set, Team};
 pub use crate::loads::LoadGate;
 use crate::loads::{Demand, LoadShare};
 pub use crate::place::LoadView;
 use crate::queue::{Job, Queue};
+pub use crate::sched_types::{EndpointSpec, RefuseReason, SchedOut};
 use crate::slots::{Room, SlotState, Slots};
 use crate::time::Ms;
 
@@ -31,96 +32,6 @@
 /// Retry hint where no better one is known.
 const RETRY: Ms = Ms(1_000);
 
-/// Fixed properties of an endpoint.
-#[derive(Clone, Debug)]
-pub struct EndpointSpec {
-    /// Name of the endpoint.
-    pub name: Endpoint,
-    /// Adapter slots; 0 for a plain service.
-    pub slots: usize,
-    /// Most concurrent attempts.
-    pub batch: usize,
-    /// Most loads at once on this endpoint.
-    pub loads: usize,
-    /// Most queued jobs.
-    pub queue: usize,
-    /// Validity of a permit: a younger pin survives although the endpoint does not run it.
-    pub grace: Ms,
-}
-
-impl EndpointSpec {
-    /// An endpoint with 2 loads at once, 512 queued jobs and permits of 5 s.
-    pub fn new(name: Endpoint, slots: usize, batch: usize) -> Self {
-        Self { name, slots, batch, loads: 2, queue: 512, grace: Ms::secs(5) }
-    }
-}
-
-/// Why a job was refused; it did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum RefuseReason {
-    /// The estimated wait exceeds the time left.
-    Deadline,
-    /// The deadline passed in the queue.
-    Expired,
-    /// The queue is full and the team holds most of it.
-    Full,
-    /// The adapter's load failed and backs off.
-    LoadFailed,
-    /// The endpoint is being taken away.
-    Leaving,
-    /// The endpoint does not answer.
-    Unhealthy,
-    /// The fingerprint is quarantined.
-    Quarantined,
-    /// The endpoint has no adapter slots.
-    NoSlots,
-}
-
-impl RefuseReason {
-    /// Machine-readable name.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Deadline => "deadline_infeasible",
-            Self::Expired => "deadline_expired",
-            Self::Full => "queue_full",
-            Self::LoadFailed => "load_failed",
-            Self::Leaving => "endpoint_leaving",
-            Self::Unhealthy => "endpoint_unhealthy",
-            Self::Quarantined => "quarantined",
-            Self::NoSlots => "no_adapter_slots",
-        }
-    }
-}
-
-/// What the shell has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SchedOut {
-    /// Send the permit of this attempt.
-    Grant {
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// Refuse this attempt, which did not run.
-    Refuse {
-        /// The attempt.
-        attempt: AttemptId,
-        /// Why.
-        reason: RefuseReason,
-        /// Earliest useful retry.
-        retry_after: Ms,
-    },
-    /// Order the endpoint to load an adapter.
-    Load {
-        /// The adapter.
-        adapter: AdapterRef,
-    },
-    /// Order the endpoint to evict an adapter.
-    Evict {
-        /// The adapter.
-        adapter: AdapterRef,
-    },
-}
-
 #[derive(Debug)]
 struct Run {
     team: Option<Team>,
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -30,7 +30,8 @@
 use crate::metrics::Metrics;
 use crate::operate;
 use crate::owner::{AuthorityOut, Order, Resource};
-use crate::peer::{Handler, Links, Reach};
+use crate::peer::{Links, Reach};
+use crate::peer_handler::PeerHandler;
 use crate::refusal::{Ran, Recorder, Refusal};
 use crate::serve::{Caller, Measured};
 use crate::service::Service;
@@ -38,7 +39,6 @@
 use crate::storage::{Objects, Table, VmList};
 use crate::takeover::ProbeResult;
 use crate::time::{Clock, Ms, wall_clock};
-use crate::wire;
 
 /// Retries per 100 first attempts.
 const RETRY_PERCENT: u64 = 10;
@@ -272,7 +272,7 @@
         }
     }
 
-    fn send(&self, to: &str, body: Body) {
+    pub(crate) fn send(&self, to: &str, body: Body) {
         if let Some(links) = self.links.get()
             && !links.send(to, body)
         {
@@ -292,7 +292,7 @@
         self.waiting.lock().unwrap().remove(&attempt);
     }
 
-    fn deliver(self: &Arc<Self>, attempt: AttemptId, reply: peer::PermitReply) {
+    pub(crate) fn deliver(self: &Arc<Self>, attempt: AttemptId, reply: peer::PermitReply) {
         let waiter = self.waiting.lock().unwrap().remove(&attempt);
         let granted = reply.granted;
         let endpoint = Endpoint::new(&reply.endpoint);
@@ -537,71 +537,3 @@
         self.recorder.lock().unwrap().push(refusal)
     }
 }
-
-/// Passes messages of peers to the core.
-pub(crate) struct PeerHandler<P: Ports>(pub(crate) Arc<Shell<P>>);
-
-impl<P: Ports> Clone for PeerHandler<P> {
-    fn clone(&self) -> Self {
-        Self(self.0.clone())
-    }
-}
-
-impl<P: Ports> Handler for PeerHandler<P> {
-    fn on_message(&self, from: &Node, body: Body) {
-        let shell = &self.0;
-        match body {
-            Body::Heartbeat(beat) => {
-                shell.with_core(|core, now, out| core.on_heartbeat(now, from, &beat, out));
-            }
-            Body::PermitRequest(req) => {
-                shell.with_core(|core, now, out| core.on_permit_request(now, from, &req, out));
-            }
-            Body::PermitReply(reply) => {
-                if let Some(attempt) = wire::attempt(&reply.attempt) {
-                    shell.deliver(attempt, reply);
-                }
-            }
-            Body::PermitEnd(end) => {
-                shell.with_core(|core, now, out| core.on_permit_end(now, &end, out));
-            }
-            Body::PermitCancel(cancel) => {
-                shell.with_core(|core, now, _| core.on_permit_cancel(now, &cancel));
-            }
-            Body::PromiseRequest(ask) => {
-                let promise =
-                    shell.with_core(|core, now, _| core.authority.on_promise_request(now, from));
-                let reply =
-                    peer::Promise { sent: ask.sent, valid: promise.valid.0, given: promise.given };
-                shell.send(vm_name(from), Body::Promise(reply));
-            }
-            Body::Promise(p) => shell.with_core(|core, now, _| {
-                core.authority.on_promise(now, from, Ms(p.sent), Ms(p.valid), p.given);
-            }),
-            Body::LoanAsk(ask) => {
-                let ask = wire::ask_from(&ask);
-                let loan = shell.with_core(|core, now, _| core.quota.on_ask(now, from, &ask));
-                if let Some(loan) = loan {
-                    shell.send(vm_name(from), Body::Loan(wire::loan(&loan)));
-                }
-            }
-            Body::Loan(loan) => {
-                let loan = wire::loan_from(&loan);
-                shell.with_core(|core, now, _| core.quota.on_loan(now, from, &loan));
-                shell.loans.notify_waiters();
-            }
-            Body::Hello(_) | Body::Proof(_) | Body::Ping(_) | Body::Pong(_) => {
-                log::warn!("unexpected message from {from} dropped");
-            }
-        }
-    }
-
-    fn on_open(&self, peer: &Node) {
-        self.0.with_core(|core, _, _| core.on_peer(peer));
-    }
-
-    fn authority(&self) -> u32 {
-        let shell = &self.0;
-        shell.core.lock().unwrap().authority.level(shell.now()).to_wire()
-    }
-}
