Predict the wait for an adapter without the price that its load has for others

The price of a load for others (displacing, away from home) stood in the predicted wait, by which requests are refused.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -88,7 +88,8 @@
     e.held.get(adapter).is_some_and(|held| version.is_none_or(|v| v == *held))
 }
 
-fn load_cost(e: &Endpoint, adapter: &str, rank: usize) -> f64 {
+/// Predicted time until an adapter is in place.
+fn load_time(e: &Endpoint, adapter: &str) -> f64 {
     if e.holder.is_none() {
         return ORPHAN_MS;
     }
@@ -96,8 +97,16 @@
         return RELOAD_MS;
     }
     let load = if e.recent.contains_key(adapter) { RELOAD_MS } else { FETCH_MS };
+    load + QUEUED_LOAD_MS * f64::from(e.waiting)
+}
+
+/// What a load costs others; the request itself does not wait for it.
+fn load_price(e: &Endpoint, adapter: &str, rank: usize) -> f64 {
+    if e.asked.contains_key(adapter) {
+        return 0.0;
+    }
     let away = if rank == 0 { 0.0 } else { AWAY_MS + RANK_MS * rank as f64 };
-    load + DISPLACE_MS + away + QUEUED_LOAD_MS * f64::from(e.waiting)
+    DISPLACE_MS + away
 }
 
 /// Chooses the endpoint with the least predicted wait, or none if there is none left.
@@ -115,11 +124,15 @@
     let mut best: Option<(f64, Choice)> = None;
     for (rank, e) in order.into_iter().enumerate() {
         let load = !in_place(e, adapter, need.version);
-        let extra = if load { load_cost(e, adapter, rank) } else { 0.0 };
-        let wait = e.wait(now, need.input, need.capacity);
-        let cost = wait + extra + common(e, now, need.domain);
+        let mut wait = e.wait(now, need.input, need.capacity);
+        let mut cost = common(e, now, need.domain);
+        if load {
+            wait += load_time(e, adapter);
+            cost += load_price(e, adapter, rank);
+        }
+        cost += wait;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            best = Some((cost, Choice { id: e.entry.id.clone(), wait: wait + extra, load }));
+            best = Some((cost, Choice { id: e.entry.id.clone(), wait, load }));
         }
     }
     best.map(|(_, choice)| choice)
