Predict loads from the weight store by what they took lately

Rare adapters asked for at once slow all loads: the weight store's rate is shared. The predicted time follows what loads took, so that requests stay where their adapter is, even behind a backlog, while loads are slow.

--- a/src/bring.rs
+++ b/src/bring.rs
@@ -70,6 +70,12 @@
     }
 }
 
+/// Whether an adapter has to come from the weight store and nobody here waits for it yet.
+fn is_fetch(edge: &Edge, id: &Rc<str>, adapter: &str) -> bool {
+    let table = edge.table.borrow();
+    table.get(id).is_some_and(|e| !e.asked.contains_key(adapter) && !e.recent.contains_key(adapter))
+}
+
 /// How waiting for an adapter ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Brought {
@@ -89,15 +95,23 @@
     version: Option<u64>,
     until: Ms,
 ) -> Brought {
+    let begun = BootClock.now();
+    let fetches = is_fetch(edge, id, adapter);
     let waiter = Waiter::new(edge, id, adapter);
     loop {
         let arrived = edge.arrivals.notified();
         let now = BootClock.now();
-        match waiter.check(now, version) {
-            Some(true) => return Brought::InPlace,
-            Some(false) if now < until => {}
-            Some(false) => return Brought::Late,
+        let ended = match waiter.check(now, version) {
+            Some(true) => Some(Brought::InPlace),
+            Some(false) if now < until => None,
+            Some(false) => Some(Brought::Late),
             None => return Brought::Gone,
+        };
+        if let Some(ended) = ended {
+            if fetches {
+                edge.table.borrow_mut().fetched(now.since(begun));
+            }
+            return ended;
         }
         // Ends early when some adapter arrives.
         let _ = timeout(WANT_AGAIN.std(), arrived).await;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,8 +12,6 @@
 
 /// Time of a load from the endpoint's own memory, as engines state it.
 pub const RELOAD_MS: f64 = 30.0;
-/// Time of a load from the weight store, as engines state it.
-pub const FETCH_MS: f64 = 260.0;
 /// Cost of displacing another adapter.
 const DISPLACE_MS: f64 = 30.0;
 /// Cost of a load away from the adapter's home: it fetches once more what the home
@@ -89,14 +87,14 @@
 }
 
 /// Predicted time until an adapter is in place.
-fn load_time(e: &Endpoint, adapter: &str) -> f64 {
+fn load_time(e: &Endpoint, adapter: &str, fetch: f64) -> f64 {
     if e.holder.is_none() {
         return ORPHAN_MS;
     }
     if e.asked.contains_key(adapter) {
         return RELOAD_MS;
     }
-    let load = if e.recent.contains_key(adapter) { RELOAD_MS } else { FETCH_MS };
+    let load = if e.recent.contains_key(adapter) { RELOAD_MS } else { fetch };
     load + QUEUED_LOAD_MS * f64::from(e.waiting)
 }
 
@@ -127,7 +125,7 @@
         let mut wait = e.wait(now, need.input, need.capacity);
         let mut cost = common(e, now, need.domain);
         if load {
-            wait += load_time(e, adapter);
+            wait += load_time(e, adapter, table.fetch_time());
             cost += load_price(e, adapter, rank);
         }
         cost += wait;
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -64,6 +64,8 @@
 const READ_RATE: f64 = 30.0;
 /// Time that each further request of a batch adds to a first event, in ms.
 const BATCH_MS: f64 = 0.8;
+/// Time of a load from the idle weight store, as engines state it.
+pub const FETCH_MS: f64 = 260.0;
 /// Weight of a new sample in the moving averages.
 const SAMPLE: f64 = 0.1;
 /// Consecutive failures after which an endpoint is left alone for a while.
@@ -222,9 +224,23 @@
 pub struct Endpoints {
     rows: Map<Rc<str>, Endpoint>,
     services: Map<Rc<str>, Vec<Rc<str>>>,
+    /// Time of a load from the weight store beyond that of an idle one, as seen lately, in
+    /// ms. Its rate is shared by all endpoints.
+    fetch_delay: f64,
 }
 
 impl Endpoints {
+    /// Adopts the time that a load from the weight store took.
+    pub fn fetched(&mut self, took: Ms) {
+        let delay = (took.0 as f64 - FETCH_MS).max(0.0);
+        self.fetch_delay += SAMPLE * (delay - self.fetch_delay);
+    }
+
+    /// Predicted time of a load from the weight store, in ms.
+    pub fn fetch_time(&self) -> f64 {
+        FETCH_MS + self.fetch_delay
+    }
+
     /// Adopts an entry.
     pub fn put(&mut self, entry: Entry) {
         if let Some(row) = self.rows.get_mut(&entry.id) {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -253,6 +253,42 @@
     assert!(e.is_paused(Ms(10_400)) && !e.is_paused(Ms(10_600)));
 }
 
+// Load pattern: many rare adapters at once, so that loads from the weight store slow down.
+#[test]
+fn busy_weight_store_keeps_requests_where_their_adapter_is() {
+    let mut table = Endpoints::default();
+    for id in ["i-0", "i-1"] {
+        table.put(entry(id, "assist", 64));
+        table.get_mut(id).unwrap().holder = Some(Rc::from("edge-1"));
+    }
+    let need = Need {
+        service: "assist",
+        model: Some("base"),
+        adapter: Some("base/a1"),
+        version: None,
+        input: 500.0,
+        capacity: 0.0,
+        domain: "gent",
+        tried: &[],
+    };
+    // The endpoint that holds the adapter has a backlog of prompts.
+    let held = choose(&table, Ms(0), &need).unwrap().id;
+    let e = table.get_mut(&held).unwrap();
+    e.held.insert(Rc::from("base/a1"), 1);
+    e.own.unread = 20_000.0;
+    let idle = choose(&table, Ms(0), &need).unwrap();
+    assert!(idle.load && idle.id != held, "{idle:?}");
+    for _ in 0..20 {
+        table.fetched(Ms(1_500));
+    }
+    assert!((1_200.0..1_500.0).contains(&table.fetch_time()), "{}", table.fetch_time());
+    assert_eq!(choose(&table, Ms(0), &need).unwrap().id, held);
+    for _ in 0..60 {
+        table.fetched(Ms(250));
+    }
+    assert_eq!(choose(&table, Ms(0), &need).unwrap().id, idle.id);
+}
+
 // Load pattern: a backlog beyond what callers wait for.
 #[test]
 fn refusals_come_at_once_and_say_when_to_come_back() {
