Gain a node's own part of a limit between beats too

Beats refill the bucket, and the own part was gained only since the last refill: with 25 peers that beat five times a second a node got little of it (new test: 5,000 of 9,524 tokens). A request without tokens no longer leads to a division by zero.

--- a/src/share.rs
+++ b/src/share.rs
@@ -90,6 +90,8 @@
     level: f64,
     /// This node's part of what was gained lately.
     own: f64,
+    /// When that part was gained last; beats do not add to it.
+    own_at: Ms,
     /// Tokens not gained while peers were silent.
     missed: f64,
     at: Ms,
@@ -109,6 +111,7 @@
             burst,
             level: burst * START,
             own: 0.0,
+            own_at: now,
             missed: 0.0,
             at: now,
             spent: 0,
@@ -135,7 +138,7 @@
     fn part(&self, now: Ms) -> f64 {
         let own = self.demand.rate(now);
         let peers: f64 = self.heard_peers(now).map(|p| f64::from(p.spent.asked)).sum();
-        own / (own + peers)
+        if own + peers > 0.0 { own / (own + peers) } else { 1.0 }
     }
 
     /// Tokens that peers may have spent since their last beats.
@@ -146,12 +149,12 @@
 
     /// Takes tokens that are left over, or of this node's own part; `Err` is what is missing.
     fn take(&mut self, now: Ms, cost: f64, reach: Reach) -> Result<(), f64> {
-        let last = self.at;
         self.refill(now, reach);
         let own_rate = self.rate * reach.part() * self.part(now);
-        let gain = own_rate * now.since(last).0 as f64 / 1_000.0;
+        let gain = own_rate * now.since(self.own_at).0 as f64 / 1_000.0;
         let own_burst = own_rate * DEMAND.0 as f64 / 1_000.0;
         self.own = (self.own + gain).min(own_burst);
+        self.own_at = now;
         // A request above the whole burst waits for a full bucket.
         let needed = cost.min(self.burst * reach.part());
         let left_over = self.level - self.unseen(now);
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -188,6 +188,31 @@
     }
 }
 
+// Beats of idle peers arrive between the requests of a node that gets all of the demand;
+// the peers' demand is over, but not forgotten yet. The node's own part goes on.
+#[test]
+fn beats_do_not_take_a_nodes_own_part() {
+    let team = team(10_000.0, 10_000.0);
+    let reach = Reach { nodes: 11, heard: 11 };
+    let mut shares = Shares::default();
+    shares.know(Ms(0), std::iter::once(&team));
+    let peers: Vec<Rc<str>> = (0..10).map(|n| Rc::from(format!("edge-{n}"))).collect();
+    let mut admitted = 0.0;
+    for ms in (0..20_000).step_by(20) {
+        let now = Ms(ms);
+        // Each peer tells of much demand and admits nothing.
+        let peer = &peers[(ms / 20 % 10) as usize];
+        let spent = Spent { tokens: 0, asked: 20_000 };
+        shares.on_beat(now, reach, (peer, 7), "studio", spent);
+        if shares.admit(Ms(ms + 10), &team, 200.0, reach).is_ok() {
+            admitted += 200.0;
+        }
+    }
+    // Its demand of 10,000 is a 21st part of all.
+    let own = 20.0 * 10_000.0 / 21.0;
+    assert!(admitted >= own * 0.9, "{admitted} of {own}");
+}
+
 // A team sends four times its rate at 26 nodes; nine of them are cut off one by one and
 // come back, more than once. Between two beats, and until a cut is noticed, nodes spend
 // tokens that others spend too, and refused callers come back together.
