--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -68,8 +68,8 @@
 
 async fn relay(caller: TcpStream, server: SocketAddr, mut modes: watch::Receiver<Mode>) {
     let Ok(server) = TcpStream::connect(server).await else { return };
-    let reset = [caller.set_zero_linger(), server.set_zero_linger()];
-    debug_assert!(reset.iter().all(Result::is_ok));
+    // A close without linger resets; if it cannot be set the close is an ordinary one.
+    let _ = (caller.set_zero_linger(), server.set_zero_linger());
     let (mut from_caller, mut to_caller) = caller.into_split();
     let (mut from_server, mut to_server) = server.into_split();
     let (m1, m2) = (modes.clone(), modes.clone());
