--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -194,16 +194,12 @@
     tokio::time::sleep_until((start + Duration::from_millis(length)).into()).await;
     fleet.shared.done.store(true, Ordering::Relaxed);
     // Callers end by themselves within their patience.
-    if tokio::time::timeout(SETTLE, async {
+    let ended = async {
         for task in &mut tasks {
             task.await.unwrap();
         }
-    })
-    .await
-    .is_err()
-    {
-        panic!("a caller did not end");
-    }
+    };
+    tokio::time::timeout(SETTLE, ended).await.expect("callers end");
     let at = |ms: u64| start + Duration::from_millis(ms);
     let hidden = events.iter().filter(|e| e.fault.hides_store());
     let places = fleet.places.iter().chain(&fleet.gone);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -12,12 +12,10 @@
 use crate::endpoints::Load;
 use crate::generated::mesh as wire;
 use crate::ids::{Map, stable_hash};
-use crate::share::{SILENCE, Spent};
+use crate::share::{BEAT, SILENCE, Spent};
 use crate::sink::decision;
 use crate::time::{BootClock, Clock, Ms};
 
-/// Interval of beats.
-const BEAT: Duration = Duration::from_millis(200);
 /// Largest datagram.
 const DATAGRAM: usize = 60 << 10;
 /// Time without a beat after which a node that is not on the list gets none either.
@@ -174,7 +172,7 @@
 /// Sends beats to all live nodes.
 pub(crate) async fn beat(edge: Rc<Edge>) {
     loop {
-        sleep(BEAT).await;
+        sleep(BEAT.std()).await;
         let now = BootClock.now();
         forget_silent(&edge, now);
         let mut datagram = envelope(&edge);
--- a/src/share.rs
+++ b/src/share.rs
@@ -16,17 +16,19 @@
 
 /// Share of the burst that a node starts with, before it has heard of its peers.
 const START: f64 = 0.2;
+/// Interval of beats, by which nodes tell each other what they admitted.
+pub const BEAT: Ms = Ms(200);
 /// Time without a beat after which a peer counts as silent; four beats.
-pub const SILENCE: Ms = Ms(800);
+pub const SILENCE: Ms = Ms(4 * BEAT.0);
 /// Longest time that a caller is told to wait; a longer one outlives most deadlines.
 const AFTER_MAX: Ms = Ms::secs(5);
 /// Shortest time that a caller is told to wait, about that of a connection.
 const AFTER_MIN: Ms = Ms(50);
 /// Time over which the returns of refused callers are spread; a beat, after which nodes
 /// know what was spent.
-const SPREAD: Ms = Ms(200);
+const SPREAD: Ms = BEAT;
 /// Time constant of the measured demand; two beats.
-const DEMAND: Ms = Ms(400);
+const DEMAND: Ms = Ms(2 * BEAT.0);
 /// Overdraft beyond the burst that is paid back, in seconds of the rate; more would close
 /// a team after a cut.
 const OVERDRAFT: f64 = 2.0;
@@ -39,12 +41,11 @@
 }
 
 impl Reach {
-    fn part(self) -> f64 {
+    fn heard_part(self) -> f64 {
         self.heard as f64 / self.nodes as f64
     }
 
-    /// The part of one node.
-    fn one(self) -> f64 {
+    fn node_part(self) -> f64 {
         1.0 / self.nodes as f64
     }
 }
@@ -123,10 +124,10 @@
 
     fn refill(&mut self, now: Ms, reach: Reach) {
         let whole = self.rate * now.since(self.at).0 as f64 / 1000.0;
-        let gain = whole * reach.part();
+        let gain = whole * reach.heard_part();
         self.missed += whole - gain;
         // The rest of the burst belongs to the nodes that are not heard.
-        self.level = (self.level + gain).min(self.burst * reach.part());
+        self.level = (self.level + gain).min(self.burst * reach.heard_part());
         self.at = now;
     }
 
@@ -135,7 +136,7 @@
     }
 
     /// This node's part of the demand.
-    fn part(&self, now: Ms) -> f64 {
+    fn demand_part(&self, now: Ms) -> f64 {
         let own = self.demand.rate(now);
         let peers: f64 = self.heard_peers(now).map(|p| f64::from(p.spent.asked)).sum();
         if own + peers > 0.0 { own / (own + peers) } else { 1.0 }
@@ -150,13 +151,13 @@
     /// Takes tokens that are left over, or of this node's own part; `Err` is what is missing.
     fn take(&mut self, now: Ms, cost: f64, reach: Reach) -> Result<(), f64> {
         self.refill(now, reach);
-        let own_rate = self.rate * reach.part() * self.part(now);
+        let own_rate = self.rate * reach.heard_part() * self.demand_part(now);
         let gain = own_rate * now.since(self.own_at).0 as f64 / 1_000.0;
         let own_burst = own_rate * DEMAND.0 as f64 / 1_000.0;
         self.own = (self.own + gain).min(own_burst);
         self.own_at = now;
         // A request above the whole burst waits for a full bucket.
-        let needed = cost.min(self.burst * reach.part());
+        let needed = cost.min(self.burst * reach.heard_part());
         let left_over = self.level - self.unseen(now);
         if self.level < needed || (left_over < needed && self.own < cost.min(own_burst)) {
             return Err((needed - left_over)
@@ -171,9 +172,9 @@
     /// When a refused caller may come back: once tokens for it are there, after those
     /// that were refused here before it.
     fn turn(&mut self, now: Ms, missing: f64, cost: f64, reach: Reach) -> Ms {
-        let rate = self.rate * reach.part();
+        let rate = self.rate * reach.heard_part();
         let first = now + Ms((missing / rate * 1_000.0) as u64).clamp(AFTER_MIN, AFTER_MAX);
-        let own_rate = rate * self.part(now);
+        let own_rate = rate * self.demand_part(now);
         let turn = self.back.max(first);
         self.back = (turn + Ms((cost / own_rate * 1_000.0) as u64)).min(first + SPREAD);
         turn.since(now)
@@ -243,7 +244,7 @@
         };
         // While the peer was silent its part of the rate was not gained here.
         let silent = now.since(last.at).since(SILENCE).0 as f64 / 1_000.0;
-        let own_part = (row.rate * reach.one() * silent).min(row.missed).min(new.max(0.0));
+        let own_part = (row.rate * reach.node_part() * silent).min(row.missed).min(new.max(0.0));
         row.missed = if reach.heard < reach.nodes { row.missed - own_part } else { 0.0 };
         let least = -row.burst - row.rate * OVERDRAFT;
         row.level = (row.level - new + own_part).clamp(least, row.burst);
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use sycamorefork::routing::Team;
-use sycamorefork::share::{Reach, SILENCE, Shares, Spent};
+use sycamorefork::share::{BEAT, Reach, SILENCE, Shares, Spent};
 use sycamorefork::time::Ms;
 
 /// Both of two nodes are heard.
@@ -101,7 +101,6 @@
 
 impl Fleet {
     const STEP: u64 = 10;
-    const BEAT: u64 = 200;
     const COST: f64 = 1_000.0;
     /// Steps after which a caller gives up.
     const PATIENCE: usize = 500;
@@ -165,7 +164,7 @@
                 }
             }
             self.admitted.push(sum);
-            if now.0.is_multiple_of(Self::BEAT) {
+            if now.0.is_multiple_of(BEAT.0) {
                 self.beat(now, team, &cut);
             }
         }
