Log why no endpoint was chosen and what claims are decided from

A refusal with no_endpoint says how many endpoints were known and why each was left out, each round with endpoints without a holder logs what its claims are decided from, and a request whose answer failed names its prompt parts.

--- a/src/endpoint_choice.rs
+++ b/src/endpoint_choice.rs
@@ -5,6 +5,7 @@
 //! as its home fills up, and a rare one stays at its home, which reloads it from its own
 //! memory. All costs are predicted times in ms.
 
+use std::fmt;
 use std::rc::Rc;
 
 use crate::endpoint_table::{EndpointState, EndpointTable};
@@ -107,13 +108,53 @@
     EVICTION_MS + distance
 }
 
+fn has_model(e: &EndpointState, model: Option<&str>) -> bool {
+    model.is_none_or(|m| e.entry.models.iter().any(|loaded| &**loaded == m))
+}
+
+/// Numbers of a service's endpoints by the first reason that excludes them, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Exclusions {
+    /// Endpoints that are known.
+    pub known: usize,
+    /// Endpoints that are leaving or gone.
+    pub unusable: usize,
+    /// Endpoints that the request was sent to before.
+    pub tried: usize,
+    /// Endpoints that have not loaded the model.
+    pub without_model: usize,
+}
+
+impl Exclusions {
+    /// Counts the endpoints that [`choose`] excludes.
+    pub fn count(table: &EndpointTable, request: &Requirements<'_>) -> Self {
+        let mut counts = Self::default();
+        for e in table.of_service(request.service) {
+            counts.known += 1;
+            if !e.usable() {
+                counts.unusable += 1;
+            } else if request.tried.contains(&e.entry.id) {
+                counts.tried += 1;
+            } else if !has_model(e, request.model) {
+                counts.without_model += 1;
+            }
+        }
+        counts
+    }
+}
+
+impl fmt::Display for Exclusions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { known, unusable, tried, without_model } = self;
+        write!(f, "known={known} unusable={unusable} tried={tried} without_model={without_model}")
+    }
+}
+
 /// Chooses the endpoint with the lowest cost: the predicted wait plus penalties. Returns
 /// `None` if no endpoint is left.
 pub fn choose(table: &EndpointTable, now: Ms, request: &Requirements<'_>) -> Option<Choice> {
     let fits = |e: &&EndpointState| {
-        e.usable()
-            && !request.tried.contains(&e.entry.id)
-            && request.model.is_none_or(|m| e.entry.models.iter().any(|loaded| &**loaded == m))
+        e.usable() && !request.tried.contains(&e.entry.id) && has_model(e, request.model)
     };
     let Some(adapter) = request.adapter else {
         return choose_without_adapter(
--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -74,6 +74,17 @@
     pub pause: Ms,
 }
 
+/// Counts of endpoints from which claims are decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimCounts {
+    /// Endpoints without a live holder.
+    pub unheld: usize,
+    /// Endpoints that this node holds.
+    pub held: usize,
+    /// Number of endpoints up to which this node claims endpoints that had no holder.
+    pub share: usize,
+}
+
 /// Lease of this node, and the nodes and holders that it has read from the store.
 #[derive(Clone, Debug)]
 pub struct EndpointHolders {
@@ -212,6 +223,22 @@
         self.held.keys()
     }
 
+    /// What [`EndpointHolders::due_claims`] decides from, for the log.
+    pub fn claim_counts(&self, now: Ms, engines: &[Rc<str>]) -> ClaimCounts {
+        let has_holder =
+            |id: &&Rc<str>| self.holders.get(*id).is_some_and(|h| self.is_live(now, &h.node));
+        ClaimCounts {
+            unheld: engines.len() - engines.iter().filter(has_holder).count(),
+            held: self.held.len(),
+            share: self.share(now, engines),
+        }
+    }
+
+    /// Number of endpoints up to which a node claims endpoints that had no holder.
+    fn share(&self, now: Ms, engines: &[Rc<str>]) -> usize {
+        engines.len().div_ceil(self.live_nodes(now).count().max(1))
+    }
+
     /// Claims that this node should write, given the instance IDs of all engine endpoints.
     pub fn due_claims(&self, now: Ms, engines: &[Rc<str>]) -> Vec<HolderClaim> {
         if !self.has_lease(now) || !self.nodes_read {
@@ -228,7 +255,7 @@
                 *counts.entry(&*h.node).or_default() += 1;
             }
         }
-        let per_node = engines.len().div_ceil(names.len().max(1));
+        let per_node = self.share(now, engines);
         let mut claims = Vec::new();
         let mut own = self.held.len();
         for id in engines {
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -4,6 +4,7 @@
 
 use crate::edge::Edge;
 use crate::log_sink::decision;
+use crate::platform::headers::PromptPart;
 use crate::time::{BootClock, Clock, Ms};
 
 /// The caller received the complete answer.
@@ -31,6 +32,8 @@
     pub(crate) config: u64,
     /// Amount charged to its team's limit.
     pub(crate) cost: f64,
+    /// Parts of its prompt.
+    pub(crate) parts: Vec<PromptPart>,
     /// Steps of its processing, each with its time in ms and its inputs.
     pub(crate) steps: Vec<String>,
     first_event: Option<Ms>,
@@ -49,6 +52,7 @@
             team: None,
             config: edge.routing.borrow().version,
             cost: 0.0,
+            parts: Vec::new(),
             steps: Vec::new(),
             first_event: None,
             outcome: None,
@@ -77,6 +81,15 @@
         self.outcome = Some((outcome, why.to_owned()));
     }
 
+    /// Identifiers of the prompt's parts, logged for a request whose answer failed: one of them
+    /// may be the cause.
+    fn failed_parts(&self, outcome: &str) -> Vec<String> {
+        if outcome == ANSWERED || (outcome == REFUSED && self.status != 502) {
+            return Vec::new();
+        }
+        self.parts.iter().map(|p| format!("{:x}", p.id)).collect()
+    }
+
     fn count_metrics(&self, outcome: &str, why: &str, took: u64) {
         let team = self.team.as_deref().unwrap_or_default();
         let route = self.route.as_deref().unwrap_or_default();
@@ -99,7 +112,7 @@
         self.count_metrics(outcome, &why, took);
         decision!("request", "id": self.attempt, "route": self.route.as_deref(),
             "team": self.team.as_deref(), "config": self.config, "steps": self.steps,
-            "cost": self.cost, "status": self.status, "outcome": outcome, "why": why,
+            "cost": self.cost, "parts": self.failed_parts(outcome), "status": self.status, "outcome": outcome, "why": why,
             "first_ms": self.first_event.map(|ms| ms.0), "took_ms": took);
     }
 }
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -16,7 +16,7 @@
 use crate::admission::{Admission, admit};
 use crate::edge::Edge;
 use crate::edge_listeners::text_response;
-use crate::endpoint_choice::{Choice, Requirements, choose};
+use crate::endpoint_choice::{Choice, Exclusions, Requirements, choose};
 use crate::endpoint_table::RequestOutcome;
 use crate::failpoint::{Failpoint, active};
 use crate::http_client::{IncomingResponse, SendError};
@@ -80,6 +80,7 @@
     let parsed = headers::parse_request(request.headers());
     let attempt = parsed.attempt.clone().unwrap_or_default();
     let mut log = RequestLog::new(&edge, &attempt);
+    log.parts.clone_from(&parsed.prompt_parts);
     let stopping = *edge.stopping.borrow();
     let mut response = match serve_request(&edge, request, &parsed, &mut log).await {
         Ok(ProxyResponse::Whole(response)) => {
@@ -443,8 +444,11 @@
     requirements: &Requirements<'_>,
     log: &mut RequestLog,
 ) -> Result<Choice, Refusal> {
-    let choice = choose(&edge.table.borrow(), BootClock.now(), requirements);
-    let choice = choice.ok_or(Refusal::unavailable("no_endpoint", DEFAULT_RETRY_AFTER))?;
+    let Some(choice) = choose(&edge.table.borrow(), BootClock.now(), requirements) else {
+        let excluded = Exclusions::count(&edge.table.borrow(), requirements);
+        log.add_step(format!("no_endpoint {excluded}"));
+        return Err(Refusal::unavailable("no_endpoint", DEFAULT_RETRY_AFTER));
+    };
     if let Admission::Refuse(after) =
         admit(choice.wait_ms, req.answer_time_left(), req.route.objective)
     {
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -516,7 +516,13 @@
     if *edge.stopping.borrow() {
         return Ok(true);
     }
-    let claims = edge.holders.borrow().due_claims(BootClock.now(), &engines);
+    let now = BootClock.now();
+    let claims = edge.holders.borrow().due_claims(now, &engines);
+    let counts = edge.holders.borrow().claim_counts(now, &engines);
+    if counts.unheld > 0 {
+        decision!("claims_due", "count": claims.len(), "unheld": counts.unheld,
+            "held": counts.held, "share": counts.share);
+    }
     for c in &claims {
         write_claim(edge, c).await?;
     }
