Reproduce: engines that crash together, and requests that crash them

The stand-in of an endpoint learns to crash (its listener and connections close), to start without a model, and to load one by order.

--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -9,7 +9,10 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::http_server::{Connection, Request, Server, serve};
+use crate::http_server::{Connection, CrashSwitch, Request, Server, serve_until_crash};
+
+/// Time from the start of a request that crashes its endpoint to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
 
 /// Fault injected into an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -60,6 +63,10 @@
     fault: EndpointFault,
     event_count: u64,
     event_pause: Duration,
+    /// Loaded model; `None` at a plain endpoint and at an engine that holds nothing.
+    model: Option<String>,
+    /// Prompt part or body that crashes the endpoint.
+    crash_trigger: Option<String>,
 }
 
 /// A running endpoint.
@@ -69,8 +76,8 @@
     /// Name.
     pub id: String,
     service: String,
-    model: Option<String>,
     state: Arc<Mutex<State>>,
+    switch: CrashSwitch,
 }
 
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
@@ -84,16 +91,27 @@
     ///
     /// Fails if no address can be bound.
     pub async fn start(id: &str, service: &str, model: Option<&str>) -> io::Result<Self> {
+        let instance = Self::start_empty(id, service, model.is_some()).await?;
+        lock(&instance.state).model = model.map(str::to_owned);
+        Ok(instance)
+    }
+
+    /// Starts an endpoint; an engine has no model until it is ordered to load one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address can be bound.
+    pub async fn start_empty(id: &str, service: &str, is_engine: bool) -> io::Result<Self> {
         let state =
             State { event_count: 3, event_pause: Duration::from_millis(5), ..State::default() };
-        let state = Arc::new(Mutex::new(state));
-        let (own, s, m) = (id.to_owned(), state.clone(), model.map(str::to_owned));
-        let server = serve(move |connection| {
-            handle_connection(own.clone(), m.clone(), s.clone(), connection)
+        let (state, switch) = (Arc::new(Mutex::new(state)), CrashSwitch::default());
+        let host = Host { id: id.to_owned(), is_engine, switch: switch.clone() };
+        let s = state.clone();
+        let server = serve_until_crash(switch.clone(), move |connection| {
+            handle_connection(host.clone(), s.clone(), connection)
         })
         .await?;
-        let model = model.map(str::to_owned);
-        Ok(Self { server, id: id.to_owned(), service: service.to_owned(), model, state })
+        Ok(Self { server, id: id.to_owned(), service: service.to_owned(), state, switch })
     }
 
     /// Address of the endpoint.
@@ -103,11 +121,7 @@
 
     /// The entry with which the endpoint registers itself, in the given state.
     pub fn entry(&self, state: &str) -> Value {
-        let models: Vec<Value> = self
-            .model
-            .iter()
-            .map(|m| json!({"Name": m, "Version": 1, "Adapters": lock(&self.state).loaded}))
-            .collect();
+        let models = lock(&self.state).models();
         json!({
             "Service": self.service, "Address": self.address().to_string(), "Zone": "gent",
             "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
@@ -127,6 +141,22 @@
         state.event_pause = event_pause;
     }
 
+    /// Makes each request crash the endpoint that has `trigger` as a part of its prompt or as
+    /// its body.
+    pub fn set_crash_trigger(&self, trigger: &str) {
+        lock(&self.state).crash_trigger = Some(trigger.to_owned());
+    }
+
+    /// Crashes the endpoint: its listener and its connections close.
+    pub fn crash(&self) {
+        self.switch.crash();
+    }
+
+    /// Whether the endpoint has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.switch.has_crashed()
+    }
+
     /// Requests run so far.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.state).runs.clone()
@@ -148,17 +178,41 @@
     }
 }
 
+impl State {
+    /// Loaded models with their adapters, as in entries and reports.
+    fn models(&self) -> Vec<Value> {
+        let model = |m: &String| json!({"Name": m, "Version": 1, "Adapters": self.loaded});
+        self.model.iter().map(model).collect()
+    }
+
+    /// Whether a request crashes the endpoint.
+    fn crashes_on(&self, request: &Request) -> bool {
+        let Some(trigger) = self.crash_trigger.as_deref() else { return false };
+        let prefix = request.header("x-prompt-prefix").unwrap_or_default();
+        let in_prompt =
+            prefix.split(',').any(|p| p.split_once(':').is_some_and(|(id, _)| id == trigger));
+        in_prompt || request.body == trigger.as_bytes()
+    }
+}
+
+/// What the connections of an endpoint share.
+#[derive(Clone)]
+struct Host {
+    id: String,
+    is_engine: bool,
+    switch: CrashSwitch,
+}
+
 /// Answers the requests of one connection.
 async fn handle_connection(
-    id: String,
-    model: Option<String>,
+    host: Host,
     state: Arc<Mutex<State>>,
     mut connection: Connection,
 ) -> io::Result<()> {
     while let Some(request) = connection.read_request().await? {
         match request.path.as_str() {
             "/report" => {
-                let body = load_report(&state, model.as_deref());
+                let body = load_report(&state);
                 connection.write_answer(200, "", body.to_string().as_bytes()).await?;
             }
             "/order" => {
@@ -166,8 +220,7 @@
                 connection.write_answer(status, "", b"").await?;
             }
             _ => {
-                if !answer_request(&id, model.as_deref(), &state, &mut connection, &request).await?
-                {
+                if !answer_request(&host, &state, &mut connection, &request).await? {
                     connection.reset();
                     return Ok(());
                 }
@@ -178,13 +231,11 @@
 }
 
 /// Builds a load report.
-fn load_report(state: &Mutex<State>, model: Option<&str>) -> Value {
+fn load_report(state: &Mutex<State>) -> Value {
     let mut state = lock(state);
     let sequence = state.sequence;
     state.reports.push(sequence);
-    let models: Vec<Value> =
-        model.iter().map(|m| json!({"Name": m, "Version": 1, "Adapters": state.loaded})).collect();
-    json!({"Stage": "combined", "Models": models, "Busy": false, "Sequence": state.sequence,
+    json!({"Stage": "combined", "Models": state.models(), "Busy": false, "Sequence": sequence,
         "Queued": 0, "Active": 0, "KvUsed": 0, "KvTotal": 1, "Handles": 0})
 }
 
@@ -193,7 +244,14 @@
     let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let mut state = lock(state);
     state.orders.push(order.clone());
-    let adapter = order["Adapter"].as_str().unwrap_or_default();
+    let Some(adapter) = order["Adapter"].as_str() else {
+        if state.model.as_deref() == order["Model"].as_str() {
+            return 200;
+        }
+        state.model = order["Model"].as_str().map(str::to_owned);
+        state.sequence += 1;
+        return 202;
+    };
     let version = order["Version"].as_u64().unwrap_or(1);
     let versioned = format!("{adapter}@{version}");
     let loads = order["Operation"] == "loading";
@@ -215,22 +273,25 @@
 
 /// Answers a request; `false` if the connection is to be reset.
 async fn answer_request(
-    id: &str,
-    model: Option<&str>,
+    host: &Host,
     state: &Arc<Mutex<State>>,
     connection: &mut Connection,
     request: &Request,
 ) -> io::Result<bool> {
+    let Host { id, is_engine, .. } = host;
     let own = format!("X-Instance-Id: {id}\r\n");
-    if request.header("x-expect-instance").is_some_and(|i| i != id) {
+    if request.header("x-expect-instance").is_some_and(|i| i != id.as_str()) {
         connection.write_answer(421, &own, b"").await?;
         return Ok(true);
     }
     let adapter = request.header("x-model").and_then(|m| m.split_once('/')).map(|(_, a)| a);
-    let (fault, absent, event_count, event_pause) = {
+    let (fault, absent, crashes, event_count, event_pause) = {
         let state = lock(state);
         let is_loaded = |a: &str| state.loaded.iter().any(|h| h.starts_with(&format!("{a}@")));
-        (state.fault, adapter.is_some_and(|a| !is_loaded(a)), state.event_count, state.event_pause)
+        let absent =
+            adapter.is_some_and(|a| !is_loaded(a)) || (*is_engine && state.model.is_none());
+        let crashes = state.crashes_on(request);
+        (state.fault, absent, crashes, state.event_count, state.event_pause)
     };
     if absent {
         connection.write_answer(421, &own, b"").await?;
@@ -250,6 +311,15 @@
     });
     let named = if fault == EndpointFault::Foreign { "ffff" } else { &attempt };
     let head = format!("X-Attempt-Id: {named}\r\nX-Server-Seal: seal.{id}.{attempt}\r\n");
+    if crashes {
+        if *is_engine {
+            let start = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n");
+            connection.write(start.as_bytes()).await?;
+        }
+        sleep(CRASH_DELAY).await;
+        host.switch.crash();
+        return Ok(false);
+    }
     match fault {
         EndpointFault::Resets => return Ok(false),
         EndpointFault::Silent => sleep(Duration::from_secs(600)).await,
@@ -263,7 +333,7 @@
         | EndpointFault::Foreign
         | EndpointFault::Extra
         | EndpointFault::Full
-            if model.is_none() =>
+            if !is_engine =>
         {
             connection.write_answer(200, &head, format!("answer to {attempt}").as_bytes()).await?;
             if fault == EndpointFault::Extra {
--- a/standin/src/http_server.rs
+++ b/standin/src/http_server.rs
@@ -4,9 +4,11 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// A completely received request.
@@ -129,6 +131,34 @@
     }
 }
 
+/// Ends a server as a crash of its process would.
+#[derive(Clone, Debug)]
+pub struct CrashSwitch(Arc<watch::Sender<bool>>);
+
+impl Default for CrashSwitch {
+    fn default() -> Self {
+        Self(Arc::new(watch::Sender::new(false)))
+    }
+}
+
+impl CrashSwitch {
+    /// Closes the listener and all connections.
+    pub fn crash(&self) {
+        self.0.send_replace(true);
+    }
+
+    /// Whether the server has crashed.
+    pub fn has_crashed(&self) -> bool {
+        *self.0.borrow()
+    }
+
+    /// Resolves when the server crashes.
+    pub async fn crashed(&self) {
+        // Cannot fail: the sender lives as long as `self`.
+        let _ = self.0.subscribe().wait_for(|c| *c).await;
+    }
+}
+
 /// A server that stops accepting connections when dropped.
 #[derive(Debug)]
 pub struct Server {
@@ -149,16 +179,42 @@
 ///
 /// Fails if no address can be bound.
 pub async fn serve<F, Fut>(handle: F) -> io::Result<Server>
+where
+    F: Fn(Connection) -> Fut + Send + 'static,
+    Fut: Future<Output = io::Result<()>> + Send + 'static,
+{
+    serve_until_crash(CrashSwitch::default(), handle).await
+}
+
+/// Starts a server that ends when `switch` is used; see [`serve`].
+///
+/// # Errors
+///
+/// Fails if no address can be bound.
+pub async fn serve_until_crash<F, Fut>(switch: CrashSwitch, handle: F) -> io::Result<Server>
 where
     F: Fn(Connection) -> Fut + Send + 'static,
     Fut: Future<Output = io::Result<()>> + Send + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
-    let task = tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(handle(Connection { stream, buffer: Vec::new() }));
+    let accept = async move {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = switch.crashed() => return,
+            };
+            let Ok((stream, _)) = accepted else { return };
+            let handled = handle(Connection { stream, buffer: Vec::new() });
+            let switch = switch.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    // A connection ends with its caller or its server; neither is an error here.
+                    _ = handled => {}
+                    () = switch.crashed() => {}
+                }
+            });
         }
-    });
-    Ok(Server { address, task })
+    };
+    Ok(Server { address, task: tokio::spawn(accept) })
 }
