Claim endpoints by a share that counts only endpoints that exist

Callers saw: after all engines of a service had crashed, they were back within 3 to 4 s, but every request of their route was refused with no_endpoint for good.

Cause: a node claims new endpoints up to its share, and counted what it holds by its rows in the table holders. Rows of instances that are gone stay there, so once as many instances had gone as a share has room for, a node claimed no new one. A few replaced instances went unnoticed, as other nodes had room. Class: a count over rows that outlive what they describe.

Change: only listed endpoints count.

Ruled out: instances taken for gone or leaving (unusable=0 in 8,731 refusals); the deadly part as the cause of the outage, since a crash of all engines without it ended alike.

--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -79,7 +79,7 @@
 pub struct ClaimCounts {
     /// Endpoints without a live holder.
     pub unheld: usize,
-    /// Endpoints that this node holds.
+    /// Endpoints that this node holds and that are not gone.
     pub held: usize,
     /// Number of endpoints up to which this node claims endpoints that had no holder.
     pub share: usize,
@@ -229,11 +229,17 @@
             |id: &&Rc<str>| self.holders.get(*id).is_some_and(|h| self.is_live(now, &h.node));
         ClaimCounts {
             unheld: engines.len() - engines.iter().filter(has_holder).count(),
-            held: self.held.len(),
+            held: self.held_among(engines),
             share: self.share(now, engines),
         }
     }
 
+    /// Number of the listed endpoints that this node holds. Rows of endpoints that are gone stay
+    /// in the table `holders`.
+    fn held_among(&self, engines: &[Rc<str>]) -> usize {
+        engines.iter().filter(|id| self.held.contains_key(*id)).count()
+    }
+
     /// Number of endpoints up to which a node claims endpoints that had no holder.
     fn share(&self, now: Ms, engines: &[Rc<str>]) -> usize {
         engines.len().div_ceil(self.live_nodes(now).count().max(1))
@@ -257,7 +263,7 @@
         }
         let per_node = self.share(now, engines);
         let mut claims = Vec::new();
-        let mut own = self.held.len();
+        let mut own = self.held_among(engines);
         for id in engines {
             if self.held.contains_key(id) {
                 continue;
--- a/tests/endpoint_holders.rs
+++ b/tests/endpoint_holders.rs
@@ -151,3 +151,14 @@
     a.on_holders(Ms(2_200), vec![holding("a", 1, 24)]);
     assert_eq!(a.fence(Ms(9_000), "i-1"), None);
 }
+
+// Rows of endpoints that are gone stay in the table. They must not use up the node's share.
+#[test]
+fn share_counts_only_endpoints_that_exist() {
+    let mut a = holder_of_i1();
+    let new = [Rc::from("i-2")];
+    a.on_nodes(Ms(2_100), vec![node("a", 20)]);
+    let claims = a.due_claims(Ms(2_100), &new);
+    let expected = HolderClaim { endpoint: Rc::from("i-2"), expected: 0, pause: Ms(0) };
+    assert_eq!(claims, vec![expected]);
+}
