--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -12,15 +12,9 @@
 use sha2::{Digest, Sha256};
 
 use crate::ids::{Adapter, Team};
+pub use crate::quarantine_list::{DEFAULT_EXPIRY, QuarantineEntry, QuarantineList};
 use crate::time::Ms;
 
-/// Default time until a quarantine entry or a suspicion expires.
-pub const DEFAULT_EXPIRY: Ms = Ms::secs(3_600);
-
-/// Time after a lift during which entries of peers for the fingerprint are ignored, because
-/// their heartbeats may still carry it.
-const LIFT_MERGE_DELAY: Ms = Ms::secs(10);
-
 /// Number of crashes after which a fingerprint is quarantined.
 const QUARANTINE_CRASHES: usize = 2;
 
@@ -40,17 +34,6 @@
     digest[..8].iter().fold(0, |n, b| n << 8 | u64::from(*b))
 }
 
-/// A quarantined fingerprint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct QuarantineEntry {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Reason of the quarantine, shown to operators and in refusals.
-    pub reason: String,
-    /// Time on this node's clock at which the entry expires.
-    pub expiry: Ms,
-}
-
 /// Action that the caller has to perform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum QuarantineOut {
@@ -87,9 +70,7 @@
     /// Number of the last crash.
     last_crash: u64,
     suspects: BTreeMap<u64, Suspect>,
-    entries: BTreeMap<u64, QuarantineEntry>,
-    /// Time until which entries of peers are ignored, by lifted fingerprint.
-    lifted: BTreeMap<u64, Ms>,
+    list: QuarantineList,
 }
 
 impl Default for Quarantine {
@@ -101,8 +82,8 @@
 impl Quarantine {
     /// Creates an empty quarantine whose entries and suspicions expire after `expiry`.
     pub fn new(expiry: Ms) -> Self {
-        let (suspects, entries, lifted) = Default::default();
-        Self { expiry, last_crash: 0, suspects, entries, lifted }
+        let (suspects, list) = Default::default();
+        Self { expiry, last_crash: 0, suspects, list }
     }
 
     /// Records the crash of an endpoint with the fingerprints that were in flight on it.
@@ -113,7 +94,7 @@
         in_flight.sort_unstable();
         in_flight.dedup();
         // The crash is attributed to a quarantined fingerprint that was still running.
-        if in_flight.iter().any(|fp| self.entries.contains_key(fp)) {
+        if in_flight.iter().any(|fp| self.list.get(now, *fp).is_some()) {
             return out;
         }
         self.last_crash += 1;
@@ -148,7 +129,7 @@
 
     /// Returns the entry in force for the fingerprint.
     pub fn is_quarantined(&self, now: Ms, fp: u64) -> Option<&QuarantineEntry> {
-        self.entries.get(&fp).filter(|e| e.expiry > now)
+        self.list.get(now, fp)
     }
 
     /// Merges an entry from a peer; returns `true` if the fingerprint was not quarantined on
@@ -157,39 +138,31 @@
     /// The caller must convert the expiry to this node's clock.
     pub fn merge(&mut self, now: Ms, entry: QuarantineEntry) -> bool {
         self.expire(now);
-        let recently_lifted = self.lifted.contains_key(&entry.fingerprint);
-        if recently_lifted || entry.expiry <= now {
-            return false;
-        }
-        self.suspects.remove(&entry.fingerprint);
-        match self.entries.get_mut(&entry.fingerprint) {
-            Some(own) => {
-                own.expiry = own.expiry.max(entry.expiry);
-                false
-            }
-            None => self.entries.insert(entry.fingerprint, entry).is_none(),
+        let fp = entry.fingerprint;
+        let is_new = self.list.merge(now, entry);
+        if self.list.get(now, fp).is_some() {
+            self.suspects.remove(&fp);
         }
+        is_new
     }
 
     /// Removes the entry and the suspicion on an operator's order; returns `false` if there
     /// was no entry.
     pub fn lift(&mut self, now: Ms, fp: u64) -> bool {
-        self.lifted.insert(fp, now + LIFT_MERGE_DELAY);
         self.suspects.remove(&fp);
-        self.entries.remove(&fp).is_some()
+        self.list.lift(now, fp)
     }
 
     /// Removes expired entries, suspicions and lifts.
     pub fn expire(&mut self, now: Ms) {
         let expiry = self.expiry;
-        self.entries.retain(|_, e| e.expiry > now);
+        self.list.expire(now);
         self.suspects.retain(|_, s| now.since(s.last) < expiry);
-        self.lifted.retain(|_, until| *until > now);
     }
 
     /// Entries in force, in order of their fingerprints.
     pub fn entries(&self, now: Ms) -> impl Iterator<Item = &QuarantineEntry> {
-        self.entries.values().filter(move |e| e.expiry > now)
+        self.list.entries(now)
     }
 
     /// Fingerprints of the suspects, in ascending order.
@@ -210,8 +183,7 @@
         let reason =
             format!("{crashes} endpoints crashed while it ran; last with {in_flight} in flight");
         let entry = QuarantineEntry { fingerprint: fp, reason, expiry: now + self.expiry };
-        self.lifted.remove(&fp);
-        self.entries.insert(fp, entry.clone());
+        self.list.add(entry.clone());
         out.push(QuarantineOut::Quarantine(entry));
         out.retain(|o| *o != QuarantineOut::Suspect(fp));
         self.suspects.retain(|other, s| {
