Find the features of requests that crash endpoints, and refuse them in the fleet

Callers saw: requests of one route crashed one engine after the other, and all other requests of the route were refused or cut with them.

Cause: nothing in the role edge related a crash to what ran there, so requests that crash endpoints were sent on without end. Class: the unit that is blamed does not match the unit that fails.

Change: requests have features, the shared parts of the prompt and a digest of the whole request. A broken connection makes the node test whether the endpoint still accepts connections; if not, the features in flight are its suspects. Nodes merge their evidence by datagram. The feature with most crashes since it last completed is the cause from three crashes on (five if it had completed before), the more specific one of equal ones; crashes at the same moment count once. A cause is refused at once in the whole fleet with 503 quarantined and the time left; requests with it that have no answer yet are cancelled. It is lifted when a request with it completes.

Why it works: sound requests share every other part with those that crash, so those parts complete between the crashes, and only the cause never does.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -14,6 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::crash_watch::{self, CrashWatch};
 use crate::deployment::Deployment;
 use crate::endpoint_holders::EndpointHolders;
 use crate::endpoint_table::EndpointTable;
@@ -106,6 +107,8 @@
     /// Client for the store, peers and orders. It is separate because an order without an
     /// answer must not close connections that carry requests.
     pub(crate) control_client: HttpClient,
+    /// Crashes of endpoints and the requests that cause them.
+    pub(crate) crash_watch: CrashWatch,
     pub(crate) socket: UdpSocket,
     /// Instant of the last failed call to the store; 0 if none has failed.
     pub(crate) store_failure: Cell<Ms>,
@@ -142,6 +145,7 @@
             adapter_changes: Notify::new(),
             data_client: HttpClient::new(CLIENT_SETTINGS),
             control_client: HttpClient::new(CLIENT_SETTINGS),
+            crash_watch: CrashWatch::default(),
             socket,
             store_failure: Cell::new(Ms(0)),
             entries_read: Cell::new(false),
@@ -259,6 +263,7 @@
     spawn_local(store_watcher::follow_entries(edge.clone()));
     spawn_local(store_watcher::maintain_membership(edge.clone()));
     spawn_local(order_executor::manage_workers(edge.clone()));
+    spawn_local(crash_watch::weigh_evidence(edge.clone()));
     spawn_local(housekeeping(edge.clone()));
     let signal = |kind| tokio::signal::unix::signal(kind).map_err(|e| Error::io("signals", e));
     let mut term = signal(tokio::signal::unix::SignalKind::terminate())?;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -153,10 +153,10 @@
 ///
 /// Uses FNV-1a with a final mix instead of a library hasher, because nodes of
 /// different builds must agree on it.
-pub fn stable_hash(parts: &[&str]) -> u64 {
+pub fn stable_hash<T: AsRef<[u8]>>(parts: &[T]) -> u64 {
     let mut h: u64 = 0xcbf2_9ce4_8422_2325;
     for part in parts {
-        for b in part.as_bytes().iter().chain(&[0xff]) {
+        for b in part.as_ref().iter().chain(&[0xff]) {
             h = (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,8 @@
 mod connection_limit;
 #[doc(hidden)]
 pub mod core;
+pub mod crash_evidence;
+mod crash_watch;
 pub mod demo;
 pub mod denial;
 pub mod deployment;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -184,6 +184,7 @@
         remove_silent_holders(&edge, now);
         let mut datagram = new_datagram(&edge);
         datagram.beat = Some(build_beat(&edge, now));
+        edge.crash_watch.write_datagram(now, &mut datagram);
         let uses: Map<SocketAddr, Vec<wire::Use>> = {
             let peers = edge.peers.borrow();
             let by_holder = collect_uses(&edge).into_iter();
@@ -198,6 +199,15 @@
     }
 }
 
+/// Sends this node's evidence of crashes to all others.
+pub(crate) fn send_evidence(edge: &Edge, now: Ms) {
+    let mut datagram = new_datagram(edge);
+    edge.crash_watch.write_datagram(now, &mut datagram);
+    for to in beat_targets(edge, now) {
+        send(edge, to, &datagram);
+    }
+}
+
 /// Asks the holder of an endpoint for an adapter that requests wait for.
 pub(crate) fn send_want(edge: &Edge, holder: &str, id: &str, demand: &AdapterDemand<'_>) {
     let address = edge.peers.borrow().get(holder).map(|p| p.address);
@@ -249,13 +259,14 @@
 
 fn on_datagram(edge: &Rc<Edge>, from: SocketAddr, datagram: wire::Datagram) {
     let now = BootClock.now();
-    let name: Rc<str> = Rc::from(datagram.node);
+    let name: Rc<str> = Rc::from(datagram.node.as_str());
     if *name == *edge.deployment.node {
         return;
     }
     if let Some(beat) = &datagram.beat {
         on_beat(edge, now, &name, from, datagram.start, beat);
     }
+    edge.crash_watch.read_datagram(edge, now, &name, &datagram);
     for want in &datagram.wants {
         on_want(edge, now, &name, from, want);
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -121,6 +121,7 @@
     counter cancelled(reason) in "streams": "Streams cancelled, by reason.";
     counter claims(result) in "claims": "Idempotency claims, by result.";
     gauge connections() in "connections": "Open connections of callers.";
+    counter crashes() in "endpoints": "Endpoints that crashed with requests of this node in flight.";
     counter evictions() in "adapters": "Adapters evicted from slots.";
     counter failures(team, route) in "answers": "Answers that were an endpoint's own failure.";
     counter faults(invariant) in "violations": "Violated invariants; must stay at zero.";
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -14,6 +14,8 @@
 
 use crate::adapter_wait::{AdapterWait, wait_for_adapter};
 use crate::admission::{Admission, admit};
+use crate::crash_evidence::Feature;
+use crate::crash_watch;
 use crate::edge::Edge;
 use crate::edge_listeners::text_response;
 use crate::endpoint_choice::{Choice, Exclusions, Requirements, choose};
@@ -133,6 +135,8 @@
     let body = read_body(&mut body, limit, idle).await?;
     let timeout = if route.timeout.0 > 0 { route.timeout } else { DEFAULT_TIMEOUT };
     let time = parsed.deadline.unwrap_or(timeout).min(timeout);
+    let features = crash_watch::features_of(&parts, parsed, team.as_deref(), &body);
+    check_quarantine(edge, &features, log)?;
     let cost = request_cost(team.as_deref(), parsed);
     log.cost = cost;
     if let Some(team) = &team {
@@ -156,6 +160,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        features,
         deadline: begun + time,
         abandon_at: begun + answer_time,
     };
@@ -168,6 +173,19 @@
     answered
 }
 
+/// Refuses a request with a feature that makes endpoints crash, until the quarantine expires.
+fn check_quarantine(
+    edge: &Edge,
+    features: &[Feature],
+    log: &mut RequestLog,
+) -> Result<(), Refusal> {
+    let Some((feature, left)) = edge.crash_watch.quarantined(BootClock.now(), features) else {
+        return Ok(());
+    };
+    log.add_step(format!("quarantined feature={:016x} left={left}", feature.id));
+    Err(Refusal::unavailable("quarantined", left))
+}
+
 /// The team of the caller's key; `None` if the key is unknown and none is required.
 fn team_of(
     routing: &Routing,
@@ -261,6 +279,8 @@
             edge.metrics.retries(1, last.reason());
         }
         let placed = place_request(edge, req, routing, &tried, log).await;
+        // A cause of crashes may have become known while the request waited.
+        let placed = check_quarantine(edge, &req.features, log).and(placed);
         let (choice, version) = match placed {
             Ok(found) => found,
             Err(refusal) if send == 0 => return Err(refusal),
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 
+use crate::crash_evidence::Feature;
 use crate::edge::Edge;
 use crate::endpoint_choice::Choice;
 use crate::endpoint_table::RequestOutcome;
@@ -65,6 +66,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Features by which causes of crashes are found.
+    pub(crate) features: Rc<[Feature]>,
     pub(crate) deadline: Ms,
     /// Instant at which the caller disconnects unless the answer has begun.
     pub(crate) abandon_at: Ms,
@@ -135,10 +138,19 @@
     let output = f64::from(req.parsed.length_hint.unwrap_or(req.parsed.max_output));
     let adapter = req.parsed.model.as_deref().filter(|m| m.contains('/')).map(Rc::from);
     let size = (f64::from(req.parsed.prompt_tokens), output);
-    let mut sent = SentRequest::new(edge, &choice.id, adapter, size, choice.wait_ms);
+    let (mut sent, cancelled) =
+        SentRequest::new(edge, &choice.id, adapter, size, choice.wait_ms, req.features.clone());
     let deadline = Instant::now() + req.time_left().since(RESPONSE_MARGIN).to_std();
-    match edge.data_client.send(address, endpoint_request(req, choice, version), deadline).await {
-        Ok(answer) => check_response(edge, req, choice, answer, sent).await,
+    let send = edge.data_client.send(address, endpoint_request(req, choice, version), deadline);
+    let answer = tokio::select! {
+        answer = send => answer,
+        Ok(()) = cancelled => return Err(SendFailure::Unknown("quarantined")),
+    };
+    match answer {
+        Ok(answer) => {
+            sent.on_head();
+            check_response(edge, req, choice, answer, sent).await
+        }
         Err(SendError::Unsent(e)) => {
             sent.on_end(RequestOutcome::Broken);
             log.add_step(format!("unsent {e}"));
@@ -146,7 +158,7 @@
         }
         Err(SendError::Unknown(e)) => {
             let silent = Instant::now() >= deadline;
-            sent.on_end(if silent { RequestOutcome::Silent } else { RequestOutcome::Broken });
+            sent.on_failure(silent);
             log.add_step(format!("broken {e}"));
             Err(SendFailure::Unknown(if silent { "no_answer" } else { "connection_broken" }))
         }
@@ -196,7 +208,7 @@
     let deadline = Instant::now() + req.time_left().since(RESPONSE_MARGIN).to_std();
     let Ok(whole) = answer.read_to_end(deadline).await else {
         let late = Instant::now() >= deadline;
-        sent.on_end(if late { RequestOutcome::Silent } else { RequestOutcome::Broken });
+        sent.on_failure(late);
         return Err(SendFailure::Unknown(if late { "answer_late" } else { "answer_cut" }));
     };
     sent.on_answer();
--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -107,12 +107,12 @@
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
             Poll::Ready(Some(Err(e))) => {
-                self.sent.on_end(RequestOutcome::Broken);
+                self.sent.on_broken();
                 self.fail(&e)
             }
             Poll::Ready(None) => {
                 if self.unframed && !self.tail.ends_with_event() {
-                    self.sent.on_end(RequestOutcome::Broken);
+                    self.sent.on_broken();
                     return self.fail("ended inside an event");
                 }
                 self.sent.on_answer();
--- a/src/sent_request.rs
+++ b/src/sent_request.rs
@@ -5,6 +5,10 @@
 
 use std::rc::Rc;
 
+use tokio::sync::oneshot;
+
+use crate::crash_evidence::Feature;
+use crate::crash_watch;
 use crate::edge::Edge;
 use crate::endpoint_table::RequestOutcome;
 use crate::time::{BootClock, Clock, Ms};
@@ -19,18 +23,24 @@
     sent: Ms,
     predicted_ms: f64,
     unanswered: bool,
+    features: Rc<[Feature]>,
+    /// Number of the request in the crash watch.
+    number: u64,
 }
 
 impl SentRequest {
     /// Adds a request with `prompt_tokens` and `output` expected tokens to the endpoint's
     /// load. `predicted_ms` is the predicted time to its first event.
+    ///
+    /// The receiver resolves if the request is to be cancelled before its answer begins.
     pub(crate) fn new(
         edge: &Rc<Edge>,
         id: &Rc<str>,
         adapter: Option<Rc<str>>,
         (prompt_tokens, output): (f64, f64),
         predicted_ms: f64,
-    ) -> Self {
+        features: Rc<[Feature]>,
+    ) -> (Self, oneshot::Receiver<()>) {
         let sent = BootClock.now();
         if let Some(adapter) = &adapter {
             let mut uses = edge.adapter_uses.borrow_mut();
@@ -44,7 +54,8 @@
             e.own_load.memory += memory_tokens;
             e.unanswered.push(sent);
         }
-        Self {
+        let (number, cancelled) = edge.crash_watch.on_sent(&features);
+        let request = Self {
             edge: edge.clone(),
             id: id.clone(),
             adapter,
@@ -53,9 +64,32 @@
             sent,
             predicted_ms,
             unanswered: true,
+            features,
+            number,
+        };
+        (request, cancelled)
+    }
+
+    /// Records that the head of the answer arrived.
+    pub(crate) fn on_head(&self) {
+        self.edge.crash_watch.on_head(self.number);
+    }
+
+    /// Records that no complete answer arrived, either in time (`silent`) or because the
+    /// connection broke.
+    pub(crate) fn on_failure(&mut self, silent: bool) {
+        match silent {
+            true => self.on_end(RequestOutcome::Silent),
+            false => self.on_broken(),
         }
     }
 
+    /// Records that the connection broke before the answer was complete.
+    pub(crate) fn on_broken(&mut self) {
+        self.on_end(RequestOutcome::Broken);
+        crash_watch::on_broken(&self.edge, &self.id, &self.features);
+    }
+
     /// Records that the first event or the complete answer arrived. Later calls do nothing.
     pub(crate) fn on_answer(&mut self) {
         if !std::mem::replace(&mut self.unanswered, false) {
@@ -72,6 +106,9 @@
     /// Records how the request ended, and logs it if the endpoint is paused as a result.
     pub(crate) fn on_end(&mut self, how: RequestOutcome) {
         let now = BootClock.now();
+        if matches!(how, RequestOutcome::Answered | RequestOutcome::Failed) {
+            self.edge.crash_watch.on_completed(&self.features);
+        }
         if let Some(e) = self.edge.table.borrow_mut().get_mut(&self.id) {
             let paused = e.is_paused(now);
             e.record_outcome(now, how);
@@ -91,6 +128,7 @@
 
 impl Drop for SentRequest {
     fn drop(&mut self) {
+        self.on_head();
         if let Some(adapter) = &self.adapter {
             let mut uses = self.edge.adapter_uses.borrow_mut();
             if let Some(n) = uses.get_mut(&self.id).and_then(|u| u.get_mut(adapter)) {
