--- a/src/lib.rs
+++ b/src/lib.rs
@@ -119,6 +119,7 @@
 pub mod slots;
 pub mod sse;
 pub mod storage;
+mod store_calls;
 mod store_watcher;
 pub mod takeover;
 pub mod team_limits;
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -18,40 +18,27 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
-use crate::attempt::Backoff;
 use crate::edge::Edge;
 use crate::endpoint_holders::{HolderClaim, HolderRecord, NodeRecord, RENEW_INTERVAL};
 use crate::error::{Error, Result};
 use crate::generated::mesh as wire;
-use crate::http_client::FullResponse;
 use crate::ids::{Map, Set};
 use crate::log_sink::decision;
 use crate::mesh;
-use crate::platform::store::{self, Change, Outcome, Row, Rows};
+use crate::platform::store::{Change, Outcome, Row};
 use crate::platform::{document, entry};
+use crate::store_calls::{CALL_TIMEOUT, Dependency, commit, read_all, read_feed};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Table of the nodes' leases.
 const NODES_TABLE: &str = "nodes";
 /// Table of the endpoints' holders.
 const HOLDERS_TABLE: &str = "holders";
-/// Time limit of a call, on top of the wait that it asks the store for.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time for which the store may hold back the answer of a feed without changes. Together
-/// with [`CALL_TIMEOUT`] it bounds how long a silent connection goes unnoticed, which must
-/// stay within the deployment's bound on the delay of a new adapter version.
-const FEED_WAIT: Ms = Ms(3_500);
 /// Reads of the entries' feed within the time in which a leaving endpoint must stop getting
 /// work. The reads are spaced out because entries change all the time.
 const ENTRY_READS_PER_DRAIN: u32 = 2;
 /// Most consecutive membership rounds that skip reading nodes and holders.
 const MAX_ROUNDS_UNREAD: u32 = 4;
-/// Consecutive failed calls after which a dependency counts as lost.
-const FAILURES_UNTIL_LOST: u32 = 2;
-/// Delay after a first failed call; it doubles with each further failure.
-const FIRST_BACKOFF: Ms = Ms(200);
-/// Largest delay after failed calls.
-const MAX_BACKOFF: Ms = Ms(800);
 /// Time for which an endpoint whose entry lapsed during a store outage is kept.
 const LAPSED_ENTRY_GRACE: Ms = Ms(2_300);
 /// Time after the last failed call during which [`LAPSED_ENTRY_GRACE`] applies.
@@ -79,75 +66,6 @@
     start: u64,
 }
 
-/// State of one dependency: logs when it is lost and back, and delays retries.
-struct Dependency {
-    name: &'static str,
-    failures: Cell<u32>,
-    backoff: RefCell<Backoff>,
-}
-
-impl Dependency {
-    fn new(name: &'static str) -> Self {
-        let backoff = RefCell::new(Backoff::new(FIRST_BACKOFF, MAX_BACKOFF));
-        Self { name, failures: Cell::new(0), backoff }
-    }
-
-    fn on_success(&self) {
-        self.backoff.borrow_mut().reset();
-        if self.failures.replace(0) >= FAILURES_UNTIL_LOST {
-            decision!("dependency_back", "dependency": self.name);
-        }
-    }
-
-    async fn on_failure(&self, edge: &Edge, why: &str) {
-        let n = self.failures.get() + 1;
-        self.failures.set(n);
-        edge.store_failure.set(BootClock.now());
-        if n == FAILURES_UNTIL_LOST {
-            decision!("dependency_lost", "dependency": self.name, "reason": why);
-        }
-        let wait = self.backoff.borrow_mut().next(&mut rand::rng());
-        sleep(wait.to_std()).await;
-    }
-}
-
-async fn call_store(edge: &Edge, request: Request<Full<Bytes>>, wait: Ms) -> Result<FullResponse> {
-    let deadline = Instant::now() + CALL_TIMEOUT + wait.to_std();
-    let answer = edge.control_client.fetch(edge.deployment.store, request, deadline).await;
-    answer.map_err(|e| Error::io("store", e))
-}
-
-/// Reads all rows of a table, with the version from which its feed continues.
-async fn read_all(edge: &Edge, table: &str) -> Result<Outcome<Rows>> {
-    let mut all: Option<Rows> = None;
-    let mut from = String::new();
-    loop {
-        let request = store::rows_request(table, &from)?;
-        let answer = call_store(edge, request, Ms(0)).await?;
-        let page = match store::decode_rows(answer.status, &answer.body)? {
-            Outcome::Done(page) => page,
-            other => return Ok(other),
-        };
-        // The range includes its start, so the next page starts just after the last key.
-        from = page.rows.last().map_or(String::new(), |r| format!("{}\u{1}", r.key));
-        let more = page.more && !page.rows.is_empty();
-        match &mut all {
-            // Later pages may be newer; the feed continues from the first page's version.
-            Some(rows) => rows.rows.extend(page.rows),
-            None => all = Some(page),
-        }
-        if !more {
-            return Ok(all.map_or(Outcome::Refused, Outcome::Done));
-        }
-    }
-}
-
-async fn read_feed(edge: &Edge, table: &str, after: u64) -> Result<Outcome<Rows>> {
-    let request = store::feed_request(table, after, FEED_WAIT.0)?;
-    let answer = call_store(edge, request, FEED_WAIT).await?;
-    store::decode_rows(answer.status, &answer.body)
-}
-
 /// Follows a table: calls `adopt` with all of its rows (`true`) or with the changed ones
 /// (`false`), then waits for `pause`.
 async fn follow_table<F, Fut>(edge: &Edge, table: &'static str, pause: Duration, adopt: F)
@@ -390,12 +308,6 @@
     table.update(entry);
 }
 
-async fn commit(edge: &Edge, changes: &[Change<'_>]) -> Result<Outcome<u64>> {
-    let request = store::commit_request(changes);
-    let answer = call_store(edge, request, Ms(0)).await?;
-    store::decode_commit(answer.status, &answer.body)
-}
-
 async fn renew_lease(edge: &Edge) -> Result<bool> {
     let sent = BootClock.now();
     let address = edge.socket.local_addr().map_err(|e| Error::io("mesh", e))?;
