Keep the quarantine in the platform's store

Callers would see: after all nodes were killed at once, requests that are known to crash endpoints crash three more before they are found again, and more reach endpoints than the platform's rule allows.

Cause: the quarantine lived in the nodes' memory only. Class: a safety decision that is lost with the process that made it.

Change: each quarantined feature has a row in the table quarantine. Nodes read it at a start, write rows that are missing, and read it again each 5 s while there are entries. Operators lift an entry by removing its row.

cause_of_crashes_stays_refused_after_all_nodes_were_killed failed before (502 connection_broken in place of 503 quarantined) and passes.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -30,7 +30,7 @@
 use crate::routing::Routing;
 use crate::team_limits::{NodeCounts, TeamLimits};
 use crate::time::{BootClock, Clock, Ms, wall_clock};
-use crate::{edge_listeners, mesh, order_executor, store_watcher};
+use crate::{edge_listeners, mesh, order_executor, quarantine_store, store_watcher};
 
 /// Shortest time from SIGTERM to exit. The balancer stops sending connections only after
 /// two failed checks, one second apart.
@@ -263,6 +263,7 @@
     spawn_local(store_watcher::follow_entries(edge.clone()));
     spawn_local(store_watcher::maintain_membership(edge.clone()));
     spawn_local(order_executor::manage_workers(edge.clone()));
+    spawn_local(quarantine_store::follow_quarantine(edge.clone()));
     spawn_local(crash_watch::weigh_evidence(edge.clone()));
     spawn_local(housekeeping(edge.clone()));
     let signal = |kind| tokio::signal::unix::signal(kind).map_err(|e| Error::io("signals", e));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod promise;
 pub mod quarantine;
 pub mod quarantine_list;
+mod quarantine_store;
 pub mod queue;
 pub mod quota;
 mod quota_types;
--- /dev/null
+++ b/src/quarantine_store.rs
@@ -0,0 +1,126 @@
+//! Keeps the quarantine in the platform's store, so that it outlives all nodes.
+//!
+//! Each quarantined feature has a row. A node that starts reads them; a node that adds an entry
+//! writes its row unless another node has. Operators lift an entry by removing its row, which
+//! nodes notice within [`READ_INTERVAL`].
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::{sleep, timeout};
+
+use crate::edge::Edge;
+use crate::error::{Error, Result};
+use crate::ids::Set;
+use crate::platform::store::{Change, Outcome, Row};
+use crate::quarantine_list::{DEFAULT_EXPIRY, QuarantineEntry};
+use crate::store_calls::{Dependency, commit, log_unreadable, read_all};
+use crate::time::{BootClock, Clock, Ms, wall_clock};
+
+/// Table of the quarantined features.
+const TABLE: &str = "quarantine";
+/// Interval at which the table is read while there are entries.
+const READ_INTERVAL: Ms = Ms::secs(5);
+/// Upper bound of the random delay before a row is written; only the first node has to.
+const MAX_WRITE_DELAY: Ms = Ms(500);
+
+/// Value of a row; its key is the feature in hexadecimal.
+#[derive(Serialize, Deserialize)]
+struct RowValue {
+    reason: String,
+    /// Time of day at which the entry expires, in ms since the Unix epoch.
+    until: u64,
+}
+
+fn decode(row: &Row, now: Ms) -> Result<QuarantineEntry> {
+    let fingerprint = u64::from_str_radix(&row.key, 16).map_err(|e| Error::input(TABLE, e))?;
+    let value: RowValue = serde_json::from_slice(&row.value).map_err(|e| Error::input(TABLE, e))?;
+    let left = Ms(value.until).since(wall_clock()).min(DEFAULT_EXPIRY);
+    Ok(QuarantineEntry { fingerprint, reason: value.reason, expiry: now + left })
+}
+
+fn key_of(feature: u64) -> String {
+    format!("{feature:016x}")
+}
+
+async fn write_row(edge: &Edge, entry: &QuarantineEntry) -> Result<()> {
+    let until = wall_clock().0 + entry.expiry.since(BootClock.now()).0;
+    let value = RowValue { reason: entry.reason.clone(), until };
+    let value = serde_json::to_vec(&value).map_err(|e| Error::input(TABLE, e))?;
+    let key = key_of(entry.fingerprint);
+    let change = Change { table: TABLE, key: &key, expected: Some(0), value: Some(&value) };
+    // If the row exists, another node has written it, and the next read finds it.
+    commit(edge, &[change]).await.map(drop)
+}
+
+async fn remove_row(edge: &Edge, feature: u64) -> Result<()> {
+    let key = key_of(feature);
+    let change = Change { table: TABLE, key: &key, expected: None, value: None };
+    commit(edge, &[change]).await.map(drop)
+}
+
+/// Reads the rows and brings this node's entries and the rows in line; false if the store was
+/// unavailable. `stored` holds the features that had a row at the last read.
+async fn synchronize(edge: &Edge, stored: &RefCell<Set<u64>>) -> Result<bool> {
+    let Outcome::Done(rows) = read_all(edge, TABLE).await? else { return Ok(false) };
+    let now = BootClock.now();
+    let watch = &edge.crash_watch;
+    let mut found: Set<u64> = Set::default();
+    let mut outdated = Vec::new();
+    let known: Set<u64> = watch.entries(now).iter().map(|e| e.fingerprint).collect();
+    for row in &rows.rows {
+        match decode(row, now) {
+            Ok(entry) => {
+                let feature = entry.fingerprint;
+                // An entry that was lifted or has expired here since the row was read.
+                let lifted = stored.borrow().contains(&feature) && !known.contains(&feature);
+                if lifted || entry.expiry <= now {
+                    outdated.push(feature);
+                } else {
+                    found.insert(feature);
+                    watch.merge(edge, now, entry, "store");
+                }
+            }
+            Err(e) => log_unreadable(row, &e),
+        }
+    }
+    let before = stored.replace(found);
+    for feature in before.iter().filter(|f| !stored.borrow().contains(*f)) {
+        watch.lift(now, *feature, "its row was removed");
+    }
+    for feature in outdated {
+        remove_row(edge, feature).await?;
+    }
+    for entry in watch.entries(now).iter().filter(|e| !stored.borrow().contains(&e.fingerprint)) {
+        write_row(edge, entry).await?;
+    }
+    Ok(true)
+}
+
+/// Keeps this node's quarantine and the store's in line.
+pub(crate) async fn follow_quarantine(edge: Rc<Edge>) {
+    let dependency = Dependency::new(TABLE);
+    let stored = RefCell::default();
+    loop {
+        match synchronize(&edge, &stored).await {
+            Ok(true) => dependency.on_success(),
+            Ok(false) => {
+                dependency.on_failure(&edge, "unavailable").await;
+                continue;
+            }
+            Err(e) => {
+                dependency.on_failure(&edge, &e.to_string()).await;
+                continue;
+            }
+        }
+        let changed = edge.crash_watch.list_changed.notified();
+        let has_entries = !edge.crash_watch.entries(BootClock.now()).is_empty();
+        match has_entries {
+            // The entries are read again after the interval even if none has changed.
+            true => drop(timeout(READ_INTERVAL.to_std(), changed).await),
+            false => changed.await,
+        }
+        sleep(Ms(rand::random_range(0..MAX_WRITE_DELAY.0)).to_std()).await;
+    }
+}
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -13,7 +13,7 @@
 use crate::error::{Error, Result};
 use crate::http_client::FullResponse;
 use crate::log_sink::decision;
-use crate::platform::store::{self, Change, Outcome, Rows};
+use crate::platform::store::{self, Change, Outcome, Row, Rows};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Time limit of a call, on top of the wait that it asks the store for.
@@ -103,3 +103,9 @@
     let answer = call_store(edge, request, Ms(0)).await?;
     store::decode_commit(answer.status, &answer.body)
 }
+
+/// Logs a row that cannot be decoded.
+pub(crate) fn log_unreadable(row: &Row, e: &Error) {
+    decision!("row_unreadable", "table": row.table, "key": row.key, "version": row.version,
+        "error": e.to_string());
+}
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -27,7 +27,7 @@
 use crate::mesh;
 use crate::platform::store::{Change, Outcome, Row};
 use crate::platform::{document, entry};
-use crate::store_calls::{CALL_TIMEOUT, Dependency, commit, read_all, read_feed};
+use crate::store_calls::{CALL_TIMEOUT, Dependency, commit, log_unreadable, read_all, read_feed};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Table of the nodes' leases.
@@ -125,11 +125,6 @@
     }
 }
 
-fn log_unreadable(row: &Row, e: &Error) {
-    decision!("row_unreadable", "table": row.table, "key": row.key, "version": row.version,
-        "error": e.to_string());
-}
-
 /// Applies a document if it is newer than the one in force. `row` is the version of its row,
 /// for the log.
 pub(crate) fn adopt_document(edge: &Edge, bytes: Vec<u8>, source: &str, row: u64) {
--- a/tests/edge_crashes.rs
+++ b/tests/edge_crashes.rs
@@ -222,3 +222,44 @@
     .await;
     supervisor.abort();
 }
+
+// What crashes endpoints must not run again because the nodes that knew of it are gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cause_of_crashes_stays_refused_after_all_nodes_were_killed() {
+    let rows = Arc::new(RowStore::start().await.unwrap());
+    store_with_document(&rows);
+    let (ledger, supervisor) = CrashingService::start(&rows, "ledger", 3, "fatal").await;
+    let fatal = |front, n: usize| async move {
+        let attempt = format!("k{n}");
+        let mut request = CallerRequest::new("POST /enter/1", &attempt);
+        request.body = "fatal";
+        exchange(front, &request.bytes()).await
+    };
+    let first = Node::start("crash-first", rows.server.address).await;
+    let front = first.addresses.frontend;
+    for n in 0..80 {
+        let answer = fatal(front, n).await;
+        if answer.is_some_and(|a| a.body == "quarantined") {
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let runs = ledger.trigger_runs().len();
+    sleep(STABLE_AFTER).await;
+    drop(first);
+    let second = Node::start("crash-second", rows.server.address).await;
+    sleep(STABLE_AFTER).await;
+    for n in 100..110 {
+        let answer = fatal(second.addresses.frontend, n).await.expect("an answer");
+        assert_eq!((answer.status, answer.body.as_str()), (503, "quarantined"));
+    }
+    assert_eq!(ledger.trigger_runs().len(), runs);
+    // The operators lift the quarantine by removing its row.
+    let key = rows.keys("quarantine").pop().expect("a row");
+    rows.remove("quarantine", &key);
+    wait_until("the quarantine is lifted", || async {
+        fatal(second.addresses.frontend, 200).await.is_none_or(|a| a.body != "quarantined")
+    })
+    .await;
+    supervisor.abort();
+}
