Claim new engines as soon as they are known

Cause: claims are made in membership rounds, 3 s apart.

Change: a new or restarted endpoint wakes the round after a short random delay, and rounds follow at 0.7 s while an engine was never claimed.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -102,6 +102,8 @@
     pub(crate) leaving: RefCell<Map<Rc<str>, Ms>>,
     /// Wakes requests that wait for an adapter when the set of loaded adapters changes.
     pub(crate) adapter_changes: Notify,
+    /// Wakes the membership task when an endpoint is new or has restarted.
+    pub(crate) endpoint_added: Notify,
     /// Client for callers' requests.
     pub(crate) data_client: HttpClient,
     /// Client for the store, peers and orders. It is separate because an order without an
@@ -143,6 +145,7 @@
             adapter_uses: RefCell::default(),
             leaving: RefCell::default(),
             adapter_changes: Notify::new(),
+            endpoint_added: Notify::new(),
             data_client: HttpClient::new(CLIENT_SETTINGS),
             control_client: HttpClient::new(CLIENT_SETTINGS),
             crash_watch: CrashWatch::default(),
--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -223,6 +223,11 @@
         self.held.keys()
     }
 
+    /// Whether an endpoint was never claimed, as far as the rows were read.
+    pub fn any_unclaimed(&self, engines: &[Rc<str>]) -> bool {
+        engines.iter().any(|id| !self.holders.contains_key(id))
+    }
+
     /// What [`EndpointHolders::due_claims`] decides from, for the log.
     pub fn claim_counts(&self, now: Ms, engines: &[Rc<str>]) -> ClaimCounts {
         let has_holder =
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -16,7 +16,7 @@
 use http_body_util::Full;
 use prost::Message;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::edge::Edge;
 use crate::endpoint_holders::{HolderClaim, HolderRecord, NodeRecord, RENEW_INTERVAL};
@@ -48,9 +48,11 @@
 /// Longest time that a starting node waits for its lease and its endpoints before the first
 /// membership round.
 const MAX_START_WAIT: Ms = Ms(2_000);
-/// Interval of membership rounds after a start while an engine has no holder or a peer is
-/// unlisted.
+/// Interval of membership rounds while an engine was never claimed, and after a start while an
+/// engine has no holder or a peer is unlisted.
 const EARLY_INTERVAL: Duration = Duration::from_millis(700);
+/// Upper bound of the random delay between learning of a new endpoint and the next round.
+const MAX_CLAIM_DELAY: Ms = Ms(150);
 /// Time after a start during which rounds may follow at [`EARLY_INTERVAL`].
 const EARLY_PERIOD: Ms = Ms::secs(6);
 
@@ -290,6 +292,9 @@
     if entry.leaving {
         edge.leaving.borrow_mut().entry(id.clone()).or_insert(BootClock.now());
     }
+    if old.is_none_or(|(_, start)| start != entry.started_at) {
+        edge.endpoint_added.notify_one();
+    }
     if old.is_some_and(|(_, start)| start != entry.started_at)
         && let Some(k) = edge.held.borrow_mut().get_mut(&id)
     {
@@ -386,10 +391,11 @@
     ids
 }
 
-/// Whether an engine endpoint has no holder that is heard.
-fn any_without_holder(edge: &Edge, engines: &[Rc<str>]) -> bool {
+/// The engines without a holder that is heard.
+fn without_holder(edge: &Edge, mut engines: Vec<Rc<str>>) -> Vec<Rc<str>> {
     let table = edge.table.borrow();
-    engines.iter().any(|id| table.get(id).is_some_and(|e| e.holder.is_none()))
+    engines.retain(|id| table.get(id).is_some_and(|e| e.holder.is_none()));
+    engines
 }
 
 /// Renews the lease if due, reads nodes and holders if needed, and claims endpoints without a
@@ -409,8 +415,8 @@
     }
     let engines = engine_endpoints(edge);
     let unlisted_peers = edge.has_unlisted_peers(now);
-    let read_due =
-        engines.is_empty() || lapsed || unlisted_peers || any_without_holder(edge, &engines);
+    let unheld = !without_holder(edge, engines.clone()).is_empty();
+    let read_due = engines.is_empty() || lapsed || unlisted_peers || unheld;
     if !read_due && skipped_reads.get() < MAX_ROUNDS_UNREAD {
         skipped_reads.set(skipped_reads.get() + 1);
         return Ok(true);
@@ -465,10 +471,15 @@
             Err(e) => dependency.on_failure(&edge, &e.to_string()).await,
         }
         let now = BootClock.now();
-        let incomplete =
-            any_without_holder(&edge, &engine_endpoints(&edge)) || edge.has_unlisted_peers(now);
-        let early = now.since(begun) < EARLY_PERIOD && incomplete;
-        sleep(if early { EARLY_INTERVAL } else { RENEW_INTERVAL.to_std() }).await;
+        let unheld = without_holder(&edge, engine_endpoints(&edge));
+        let incomplete = !unheld.is_empty() || edge.has_unlisted_peers(now);
+        let starting = now.since(begun) < EARLY_PERIOD;
+        let early = (starting && incomplete) || edge.holders.borrow().any_unclaimed(&unheld);
+        let interval = if early { EARLY_INTERVAL } else { RENEW_INTERVAL.to_std() };
+        // Ends early when an endpoint is new; several often appear together.
+        if timeout(interval, edge.endpoint_added.notified()).await.is_ok() {
+            sleep(Ms(rand::random_range(0..MAX_CLAIM_DELAY.0)).to_std()).await;
+        }
     }
 }
 
