Repeat orders without an answer with growing pauses

Cause: an order without an answer was repeated after a constant 5 ms, whatever came before. Class: a retry without backoff.

Change: the pause doubles with each further order without an answer, up to 320 ms; a first loss is still repeated after 5 ms.

--- a/src/order_planner.rs
+++ b/src/order_planner.rs
@@ -39,8 +39,10 @@
 const KEEP_AFTER_USE: Ms = Ms(260);
 /// Pause after an order that the endpoint refused.
 const REFUSED_PAUSE: Ms = Ms(60);
-/// Pause before an order without an answer is sent again.
+/// Pause before an order without an answer is sent again; doubles with each further one.
 const RESEND_PAUSE: Ms = Ms(5);
+/// Longest pause before an order without an answer is sent again.
+const MAX_RESEND_PAUSE: Ms = Ms(320);
 /// Pause without orders before a report is requested; reports lag by about 200 ms.
 const REPORT_DELAY: Ms = Ms(350);
 /// Largest number of unloaded adapters that are remembered as reloadable; engines keep about
@@ -152,6 +154,8 @@
     /// An order without an answer, which is sent again: the endpoint's number of accepted
     /// orders shows whether it was carried out and prevents a second execution.
     resend: Option<OrderStep>,
+    /// Orders without an answer since the last answer.
+    unanswered: u32,
     /// Last completed load: its time, whether it came from the weight store, and the waiting
     /// time of the request that first asked for it.
     pub last_load: Option<(Ms, bool, Option<Ms>)>,
@@ -174,6 +178,7 @@
             paused_until: Ms(0),
             model_ordered: None,
             resend: None,
+            unanswered: 0,
             last_load: None,
         }
     }
@@ -235,6 +240,7 @@
         self.unloading.clear();
         self.model_ordered = None;
         self.resend = None;
+        self.unanswered = 0;
         self.paused_until = Ms(0);
     }
 
@@ -404,17 +410,19 @@
     /// Records the result of a step. Returns an adapter whose load has completed.
     pub fn on_result(&mut self, now: Ms, step: &OrderStep, result: OrderResult) -> Option<Rc<str>> {
         self.resend = None;
+        self.unanswered = if result == OrderResult::Lost { self.unanswered + 1 } else { 0 };
         match result {
             // A lost check changes nothing; the next one is scheduled.
             OrderResult::Lost if matches!(step, OrderStep::Check(..)) => {
                 if let OrderStep::Check(adapter, version) = step {
                     self.schedule_check(now, adapter, *version);
                 }
+                self.paused_until = now + self.resend_pause();
                 return None;
             }
             OrderResult::Lost => {
                 self.resend = Some(step.clone());
-                self.paused_until = now + RESEND_PAUSE;
+                self.paused_until = now + self.resend_pause();
                 return None;
             }
             // The endpoint accepts no other order while an unload waits for running requests.
@@ -475,6 +483,12 @@
         }
     }
 
+    /// Pause after an order without an answer. An endpoint that has crashed answers none.
+    fn resend_pause(&self) -> Ms {
+        let doublings = self.unanswered.saturating_sub(1).min(16);
+        Ms(RESEND_PAUSE.0 << doublings).min(MAX_RESEND_PAUSE)
+    }
+
     fn count_accepted(&mut self) {
         self.accepted_orders = self.accepted_orders.map(|n| n + 1);
     }
--- a/tests/order_planner.rs
+++ b/tests/order_planner.rs
@@ -250,3 +250,30 @@
     planner.on_result(Ms(10), &step, OrderResult::Lost);
     assert!(matches!(planner.next_step(Ms(10)), OrderStep::Wait(until) if until > Ms(10)));
 }
+
+// A crashed endpoint refuses connections at once, so each order fails without any delay. It must
+// not get hundreds of orders until its entry lapses.
+#[test]
+fn endpoint_that_answers_no_order_gets_few() {
+    for is_check in [false, true] {
+        let mut planner = OrderPlanner::new(SLOTS);
+        planner.on_report(Ms(0), 0, vec![Rc::from("base")], &[], &[]);
+        let adapter = Rc::from("base/a1");
+        let demand = AdapterDemand { adapter: &adapter, version: None, node: "n", waiters: 1 };
+        let (mut now, mut lost) = (Ms(0), 0);
+        while now < Ms(3_000) {
+            planner.request_load(now, &demand);
+            match planner.next_step(now) {
+                OrderStep::Wait(until) => now = until,
+                step if is_check && matches!(step, OrderStep::Load(..)) => {
+                    planner.on_result(now, &step, OrderResult::Accepted);
+                }
+                step => {
+                    lost += 1;
+                    planner.on_result(now, &step, OrderResult::Lost);
+                }
+            }
+        }
+        assert!((3..=20).contains(&lost), "{lost} orders in 3 s");
+    }
+}
