Take a refusal for an answer only if it is surely one to this send

Seen by operators of similar systems: a late second copy of an answer on a connection in use again. Successes were checked by the attempt's id already; refusals were not, by two doors: - A request that an engine refused for a missing adapter is sent to it again. A late copy of that refusal bears the right id and was taken for the second send's answer, so the request was sent a third time while it ran: 2 runs. - A refusal without an id was taken for one of any request: a call that had run was sent elsewhere and then refused as not run (503 after 2 runs). Class: a message is matched to what it answers by less than what identifies it.

Change: such a second send uses a new connection, and an answer without the request's own id is foreign whatever its status.

late_copy_of_a_refusal_does_not_make_a_request_run_twice and the case Unnamed of unsafe_request_with_unknown_outcome_runs_once_and_gets_502 failed before. late_copy_of_an_answer_reaches_no_other_caller passed before as well.

--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -264,6 +264,8 @@
     log: &mut RequestLog,
 ) -> Result<ProxyResponse, Refusal> {
     let mut tried: Vec<Rc<str>> = Vec::new();
+    // Endpoints that lacked the adapter, which may get the request again.
+    let mut lacking: Vec<Rc<str>> = Vec::new();
     let mut maybe_ran = 0;
     let mut last = SendFailure::NotRun("no_endpoint");
     for send in 0..MAX_SENDS {
@@ -286,14 +288,16 @@
             Err(refusal) if send == 0 => return Err(refusal),
             Err(_) => break,
         };
-        let failure = match send_once(edge, req, &choice, version, log).await {
+        let again = lacking.contains(&choice.id);
+        let failure = match send_once(edge, req, (&choice, again), version, log).await {
             Ok(answered) => return Ok(answered),
             Err(failure) => failure,
         };
         let (why, may_have_run) = (failure.reason(), !matches!(failure, SendFailure::NotRun(_)));
         log.add_step(format!("missed {} {why}", choice.id));
-        if why != "adapter_absent" {
-            tried.push(choice.id.clone());
+        match why {
+            "adapter_absent" => lacking.push(choice.id.clone()),
+            _ => tried.push(choice.id.clone()),
         }
         if may_have_run {
             maybe_ran += 1;
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -126,10 +126,14 @@
     request
 }
 
+/// Sends a request to the chosen endpoint.
+///
+/// `again` says that the endpoint refused this request before: it is sent on a new connection
+/// then, because a late copy of that refusal would be taken for the answer.
 pub(crate) async fn send_once(
     edge: &Rc<Edge>,
     req: &PreparedRequest<'_>,
-    choice: &Choice,
+    (choice, again): (&Choice, bool),
     version: Option<u64>,
     log: &mut RequestLog,
 ) -> Result<ProxyResponse, SendFailure> {
@@ -141,7 +145,13 @@
     let (mut sent, cancelled) =
         SentRequest::new(edge, &choice.id, adapter, size, choice.wait_ms, req.features.clone());
     let deadline = Instant::now() + req.time_left().since(RESPONSE_MARGIN).to_std();
-    let send = edge.data_client.send(address, endpoint_request(req, choice, version), deadline);
+    let request = endpoint_request(req, choice, version);
+    let send = async {
+        match again {
+            true => edge.data_client.send_fresh(address, request, deadline).await,
+            false => edge.data_client.send(address, request, deadline).await,
+        }
+    };
     let answer = tokio::select! {
         answer = send => answer,
         Ok(()) = cancelled => return Err(SendFailure::Unknown("quarantined")),
@@ -178,9 +188,8 @@
     if let Some(idle) = reply.idle_timeout {
         answer.set_idle_timeout(idle.since(IDLE_MARGIN).min(MAX_ENDPOINT_IDLE).to_std());
     }
-    // A failure may lack the attempt's id, a success must carry it.
-    let unnamed_failure = reply.attempt.is_none() && !status.is_success();
-    if reply.attempt != req.parsed.attempt && !unnamed_failure {
+    // An answer without the id may be a copy of the answer to another request.
+    if reply.attempt != req.parsed.attempt {
         sent.on_end(RequestOutcome::Broken);
         return Err(SendFailure::Unknown("foreign_answer"));
     }
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -30,8 +30,12 @@
     Full,
     /// Runs the request and answers with status 503.
     Overloaded,
+    /// Runs the request and sends a refusal without the id of an attempt.
+    Unnamed,
     /// Runs the request and, at a plain endpoint, sends a second answer after the first.
     Extra,
+    /// Sends a second copy of each answer when the next request arrives on the connection.
+    LateCopy,
     /// Runs the request and never answers.
     Silent,
 }
@@ -65,6 +69,8 @@
     event_pause: Duration,
     /// Loaded model; `None` at a plain endpoint and at an engine that holds nothing.
     model: Option<String>,
+    /// Number of requests to refuse.
+    refusals: usize,
     /// Prompt part or body that crashes the endpoint.
     crash_trigger: Option<String>,
 }
@@ -147,6 +153,11 @@
         lock(&self.state).crash_trigger = Some(trigger.to_owned());
     }
 
+    /// Refuses the next requests, as if their adapters were not loaded.
+    pub fn refuse_next(&self, count: usize) {
+        lock(&self.state).refusals = count;
+    }
+
     /// Crashes the endpoint: its listener and its connections close.
     pub fn crash(&self) {
         self.switch.crash();
@@ -210,6 +221,9 @@
     mut connection: Connection,
 ) -> io::Result<()> {
     while let Some(request) = connection.read_request().await? {
+        if lock(&state).fault == EndpointFault::LateCopy {
+            connection.repeat_answer().await?;
+        }
         match request.path.as_str() {
             "/report" => {
                 let body = load_report(&state);
@@ -279,17 +293,20 @@
     request: &Request,
 ) -> io::Result<bool> {
     let Host { id, is_engine, .. } = host;
-    let own = format!("X-Instance-Id: {id}\r\n");
+    let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
+    let own = format!("X-Instance-Id: {id}\r\nX-Attempt-Id: {attempt}\r\n");
     if request.header("x-expect-instance").is_some_and(|i| i != id.as_str()) {
         connection.write_answer(421, &own, b"").await?;
         return Ok(true);
     }
     let adapter = request.header("x-model").and_then(|m| m.split_once('/')).map(|(_, a)| a);
     let (fault, absent, crashes, event_count, event_pause) = {
-        let state = lock(state);
+        let mut state = lock(state);
         let is_loaded = |a: &str| state.loaded.iter().any(|h| h.starts_with(&format!("{a}@")));
-        let absent =
-            adapter.is_some_and(|a| !is_loaded(a)) || (*is_engine && state.model.is_none());
+        let absent = state.refusals > 0
+            || adapter.is_some_and(|a| !is_loaded(a))
+            || (*is_engine && state.model.is_none());
+        state.refusals = state.refusals.saturating_sub(1);
         let crashes = state.crashes_on(request);
         (state.fault, absent, crashes, state.event_count, state.event_pause)
     };
@@ -298,10 +315,9 @@
         return Ok(true);
     }
     if fault == EndpointFault::Full {
-        connection.write_answer(503, "X-Not-Executed: 1\r\n", b"").await?;
+        connection.write_answer(503, &format!("{own}X-Not-Executed: 1\r\n"), b"").await?;
         return Ok(true);
     }
-    let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
     lock(state).runs.push(Run {
         attempt: attempt.clone(),
         headers: request.headers.clone(),
@@ -323,6 +339,9 @@
     match fault {
         EndpointFault::Resets => return Ok(false),
         EndpointFault::Silent => sleep(Duration::from_secs(600)).await,
+        EndpointFault::Unnamed => {
+            connection.write_answer(503, "X-Not-Executed: 1\r\n", b"").await?;
+        }
         EndpointFault::Overloaded => connection.write_answer(503, &head, b"busy").await?,
         EndpointFault::Cut => {
             let text = format!("HTTP/1.1 200 OK\r\n{head}Content-Length: 100\r\n\r\nshort");
@@ -332,6 +351,7 @@
         EndpointFault::None
         | EndpointFault::Foreign
         | EndpointFault::Extra
+        | EndpointFault::LateCopy
         | EndpointFault::Full
             if !is_engine =>
         {
--- a/standin/src/http_server.rs
+++ b/standin/src/http_server.rs
@@ -37,6 +37,8 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// Last answer written by [`Connection::write_answer`].
+    last_answer: Vec<u8>,
 }
 
 impl Connection {
@@ -97,7 +99,18 @@
     ) -> io::Result<()> {
         let head =
             format!("HTTP/1.1 {status} S\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
-        self.write(&[head.as_bytes(), body].concat()).await
+        self.last_answer = [head.as_bytes(), body].concat();
+        self.stream.write_all(&self.last_answer).await
+    }
+
+    /// Writes the last answer again, if there was one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn repeat_answer(&mut self) -> io::Result<()> {
+        let answer = std::mem::take(&mut self.last_answer);
+        self.stream.write_all(&answer).await
     }
 
     /// Waits until the peer has closed the connection; data received before is kept.
@@ -205,7 +218,8 @@
                 () = switch.crashed() => return,
             };
             let Ok((stream, _)) = accepted else { return };
-            let handled = handle(Connection { stream, buffer: Vec::new() });
+            let handled =
+                handle(Connection { stream, buffer: Vec::new(), last_answer: Vec::new() });
             let switch = switch.clone();
             tokio::spawn(async move {
                 tokio::select! {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -133,6 +133,7 @@
         EndpointFault::Foreign,
         EndpointFault::Cut,
         EndpointFault::Overloaded,
+        EndpointFault::Unnamed,
     ];
     for (n, fault) in cases.into_iter().enumerate() {
         for e in &world.ledger {
@@ -175,6 +176,51 @@
     }
 }
 
+// A second copy of an answer may arrive when its connection carries the next request.
+#[tokio::test]
+async fn late_copy_of_an_answer_reaches_no_other_caller() {
+    let world = TestSetup::start().await;
+    let node = Node::start("edge-copy", world.store_address()).await;
+    for e in &world.ledger {
+        e.set_fault(EndpointFault::LateCopy);
+    }
+    for n in 0..20 {
+        let attempt = format!("i{n}");
+        let answer = CallerRequest::new("POST /enter/1", &attempt).send(&node).await;
+        let own = (200, format!("answer to {attempt}"));
+        let unknown = (502, "foreign_answer".to_owned());
+        assert!([own, unknown].contains(&(answer.status, answer.body)), "{attempt}");
+        assert_eq!(world.run_count(&attempt), 1);
+    }
+}
+
+// A second copy of an endpoint's refusal must not refuse the same request's next send.
+#[tokio::test]
+async fn late_copy_of_a_refusal_does_not_make_a_request_run_twice() {
+    let world = TestSetup::start().await;
+    // One of the nodes does not hold the engine and has to ask for the adapter.
+    let nodes = [
+        Node::start("edge-refusal-1", world.store_address()).await,
+        Node::start("edge-refusal-2", world.store_address()).await,
+    ];
+    wait_until("the engine has a holder", || async { !world.assist.reports().is_empty() }).await;
+    for node in &nodes {
+        wait_until("the adapter is loaded", || async {
+            let ask = CallerRequest::new("POST /ask/1", "j0").with_header("X-Model", "base/a1");
+            ask.send(node).await.status == 200
+        })
+        .await;
+    }
+    world.assist.set_fault(EndpointFault::LateCopy);
+    for (node, attempt) in nodes.iter().zip(["j1", "j2"]) {
+        world.assist.refuse_next(1);
+        let ask = CallerRequest::new("POST /ask/1", attempt).with_header("X-Model", "base/a1");
+        ask.send(node).await;
+        let runs = world.assist.runs().iter().filter(|r| r.attempt == attempt).count();
+        assert!(runs <= 1, "{runs} runs");
+    }
+}
+
 #[tokio::test]
 async fn withdrawn_key_is_refused_within_two_seconds_and_older_documents_are_ignored() {
     let world = TestSetup::start().await;
