Match answers of services and engines in the role serve to their attempts

Seen by operators of similar systems: a late second copy of an answer on a connection in use again. In the role serve it gave the next caller another caller's booking: answers of plain services were not checked at all, and a copy of an engine's refusal made a running request count as refused.

Change: an answer that names another attempt in x-request-id is not an answer. A connection is used again only after an answer that named its attempt, since a copy of any other could not be told from the next answer. The sample endpoints return the header; docs/OPERATIONS.md asks for it.

late_copy_of_a_service_answer_is_not_an_answer and late_copy_of_an_engine_answer_is_not_an_answer failed before.

--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -3,7 +3,8 @@
 //! Every request carries the attempt id as `x-request-id` and the owner's fencing token
 //! as `x-fence`; headers of the caller are never sent. The engine includes the request
 //! id in the id of its answer, so that an answer to another attempt is recognised and
-//! dropped.
+//! dropped. An answer with the header `x-request-id` is checked by it as well; without the
+//! header its connection is not used again, because a late copy could not be recognised.
 //!
 //! Engines also provide `GET /load` (see [`EngineState`]) and `POST /v1/cancel` with
 //! `{"request_id"}`. A refusal that states `error.ran = "no"` means "not run" with any
@@ -23,7 +24,7 @@
 
 use crate::error::{Error, Result};
 use crate::frames::{FrameLimits, Frames};
-use crate::http_client::{FullResponse, HttpClient, SendError, build_request};
+use crate::http_client::{FullResponse, HttpClient, IncomingResponse, SendError, build_request};
 use crate::ids::{AdapterRef, AttemptId};
 
 pub use crate::frames::{DroppedFrames, Frame, FrameError, Usage};
@@ -405,7 +406,8 @@
             true => call.deadline.min(Instant::now() + self.settings.head_timeout),
             false => call.deadline,
         };
-        let response = self.http.send(self.addr, req, first).await?;
+        let mut response = self.http.send(self.addr, req, first).await?;
+        check_attempt(&mut response, call.attempt)?;
         if !response.status.is_success() {
             let response =
                 response.read_to_end(call.deadline).await.map_err(StartError::Unknown)?;
@@ -447,6 +449,25 @@
     }
 }
 
+/// Checks that a response names no other attempt, and closes its connection afterwards if it
+/// names none: a connection is reused only if a copy of its last answer could be recognised.
+///
+/// # Errors
+/// The response belongs to another attempt.
+pub(crate) fn check_attempt(
+    response: &mut IncomingResponse,
+    attempt: AttemptId,
+) -> std::result::Result<(), StartError> {
+    match response.headers.get(X_REQUEST_ID) {
+        Some(id) if *id == *attempt.to_string() => Ok(()),
+        Some(id) => Err(StartError::Unknown(format!("answer to another attempt: {id:?}"))),
+        None => {
+            response.discard_connection();
+            Ok(())
+        }
+    }
+}
+
 pub(crate) fn set_attempt_headers(headers: &mut HeaderMap, attempt: AttemptId, fence: u64) {
     if let Ok(id) = HeaderValue::from_str(&attempt.to_string()) {
         headers.insert(X_REQUEST_ID, id);
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -189,7 +189,8 @@
                 let (head, body) = response.into_parts();
                 let (status, headers) = (head.status, head.headers);
                 let (conn, client, idle) = (Some(conn), self.clone(), self.0.settings.idle_timeout);
-                Ok(IncomingResponse { status, headers, body, conn, client, addr, idle })
+                let reusable = true;
+                Ok(IncomingResponse { status, headers, body, conn, client, addr, idle, reusable })
             }
             // Hyper returns the request only if it has not started to write it.
             Ok(Err(mut error)) => match error.take_message() {
@@ -294,9 +295,16 @@
     client: HttpClient,
     addr: SocketAddr,
     idle: Duration,
+    /// Whether the connection may carry another request.
+    reusable: bool,
 }
 
 impl IncomingResponse {
+    /// Closes the connection after this response instead of reusing it.
+    pub fn discard_connection(&mut self) {
+        self.reusable = false;
+    }
+
     /// Sets how long the connection may be idle after this response.
     pub fn set_idle_timeout(&mut self, idle: Duration) {
         self.idle = idle;
@@ -316,7 +324,7 @@
                     Poll::Ready(Some(Err(format!("{}: {e}", self.addr))))
                 }
                 Poll::Ready(None) => {
-                    if let Some(conn) = self.conn.take() {
+                    if let Some(conn) = self.conn.take().filter(|_| self.reusable) {
                         self.client.return_idle(self.addr, conn, self.idle);
                     }
                     Poll::Ready(None)
--- a/src/sample_engine.rs
+++ b/src/sample_engine.rs
@@ -471,6 +471,14 @@
     headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
 }
 
+/// Returns the attempt id of a request in the response to it.
+pub(crate) fn echo_attempt(headers: &HeaderMap, mut response: Response) -> Response {
+    if let Some(id) = headers.get(X_REQUEST_ID) {
+        response.headers_mut().insert(X_REQUEST_ID, id.clone());
+    }
+    response
+}
+
 pub(crate) fn header_number(headers: &HeaderMap, name: &str) -> u64 {
     header_text(headers, name).parse().unwrap_or(0)
 }
@@ -547,8 +555,12 @@
             (Method::GET, "/health") => json_response(StatusCode::OK, &json!({})),
             (Method::GET, "/load") => json_response(StatusCode::OK, &self.load_report()),
             (Method::GET, "/v1/models") => self.models(),
-            (Method::POST, "/v1/chat/completions") => self.generate(true, &headers, body).await,
-            (Method::POST, "/v1/completions") => self.generate(false, &headers, body).await,
+            (Method::POST, "/v1/chat/completions") => {
+                echo_attempt(&headers, self.generate(true, &headers, body).await)
+            }
+            (Method::POST, "/v1/completions") => {
+                echo_attempt(&headers, self.generate(false, &headers, body).await)
+            }
             (Method::POST, "/v1/load_lora_adapter") => {
                 self.load(json_body()["lora_name"].as_str().unwrap_or_default(), fence).await
             }
--- a/src/sample_service.rs
+++ b/src/sample_service.rs
@@ -21,7 +21,7 @@
 use crate::engine_client::{X_FENCE, X_REQUEST_ID};
 use crate::faulty_listener::{ConnectionControl, FaultyListener, RunningServer, spawn_server};
 use crate::sample_engine::{
-    EndpointRecord, Execution, Fault, bytes_digest, header_number, header_text,
+    EndpointRecord, Execution, Fault, bytes_digest, echo_attempt, header_number, header_text,
 };
 use crate::sample_record::{ActiveFaults, consume_fault, json_response, refusal_response};
 use crate::time::Ms;
@@ -259,6 +259,6 @@
             fence: header_number(&headers, X_FENCE),
             offset: 0,
         };
-        Ok(self.execute(call, &body, peer).await)
+        Ok(echo_attempt(&headers, self.execute(call, &body, peer).await))
     }
 }
--- a/src/service_client.rs
+++ b/src/service_client.rs
@@ -1,5 +1,9 @@
 //! Client for plain services, which receive callers' requests unchanged.
 //!
+//! A service that returns the attempt id as `x-request-id` gets further calls on the same
+//! connection; one that does not gets each call on a new connection, because a late copy of
+//! an answer could not be told from the answer to the next call.
+//!
 //! Only listed headers are forwarded, so that a caller's key cannot reach the service
 //! in an unexpected header. The service receives the attempt id as `x-request-id`. An
 //! answer with any status is final unless it is an error whose body states
@@ -16,7 +20,7 @@
 use serde::Deserialize;
 use tokio::time::Instant;
 
-use crate::engine_client::{StartError, says_not_run, set_attempt_headers};
+use crate::engine_client::{StartError, check_attempt, says_not_run, set_attempt_headers};
 use crate::error::{Error, Result};
 use crate::http_client::{HttpClient, build_request};
 use crate::ids::AttemptId;
@@ -208,7 +212,9 @@
             .map_err(StartError::Unsent)?;
         *req.headers_mut() = forwardable_headers(&call.headers, None);
         set_attempt_headers(req.headers_mut(), call.attempt, call.fence);
-        let response = self.http.fetch(self.addr, req, call.deadline).await?;
+        let mut response = self.http.send(self.addr, req, call.deadline).await?;
+        check_attempt(&mut response, call.attempt)?;
+        let response = response.read_to_end(call.deadline).await.map_err(StartError::Unknown)?;
         let status = response.status.as_u16();
         if !response.status.is_success() && says_not_run(&response.body) {
             return Err(StartError::Refused { status, body: response.body });
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -432,3 +432,96 @@
     let report = run_load(plan(running.addr, [0, 1, 0])).await;
     assert_eq!(report.total.wrong, 100, "{report:?}");
 }
+
+/// A server whose answers come from `answer`; each is sent a second time when the next request
+/// arrives on its connection.
+async fn serve_late_copies(
+    answer: impl Fn(&str, usize) -> (u16, String, String) + Send + Sync + 'static,
+) -> standin::http_server::Server {
+    let answer = std::sync::Arc::new(answer);
+    standin::http_server::serve(move |mut connection| {
+        let answer = answer.clone();
+        async move {
+            let mut count = 0;
+            while let Some(request) = connection.read_request().await? {
+                connection.repeat_answer().await?;
+                let attempt = request.header("x-request-id").unwrap_or_default();
+                let (status, headers, body) = answer(attempt, count);
+                connection.write_answer(status, &headers, body.as_bytes()).await?;
+                count += 1;
+            }
+            Ok(())
+        }
+    })
+    .await
+    .unwrap()
+}
+
+/// Guards against giving a caller the answer to another call, whether or not the service names
+/// the attempt in its answers.
+#[tokio::test]
+async fn late_copy_of_a_service_answer_is_not_an_answer() {
+    for named in [true, false] {
+        let server = serve_late_copies(move |attempt, _| {
+            let header = if named { format!("x-request-id: {attempt}\r\n") } else { String::new() };
+            (200, header, format!("answer to {attempt}"))
+        })
+        .await;
+        let service = HttpService::new(http_client(), server.address, Duration::from_secs(5));
+        for n in 1..=4 {
+            let call = ServiceCall {
+                attempt: AttemptId(n),
+                fence: 1,
+                method: Method::POST,
+                path: "/book".to_owned(),
+                headers: HeaderMap::new(),
+                body: Bytes::new(),
+                deadline: test_deadline(),
+            };
+            match service.call(&call).await {
+                Ok(reply) => assert_eq!(reply.body, format!("answer to {}", AttemptId(n))),
+                Err(e) => assert!(matches!(e, StartError::Unknown(_)), "{e:?}"),
+            }
+        }
+    }
+}
+
+/// Guards against taking a late copy of a refusal, or the end of another stream, for the answer
+/// to a request that runs.
+#[tokio::test]
+async fn late_copy_of_an_engine_answer_is_not_an_answer() {
+    let refusals = serve_late_copies(|attempt, count| match count {
+        0 => (400, format!("x-request-id: {attempt}\r\n"), "no".to_owned()),
+        _ => (200, String::new(), String::new()),
+    })
+    .await;
+    let engine = HttpEngine::new(http_client(), refusals.address, EngineSettings::default());
+    let call = |n| call(n, &body("base", true, 4));
+    let refused = [
+        matches!(engine.start(&call(1)).await, Err(StartError::Refused { .. })),
+        matches!(engine.start(&call(2)).await, Err(StartError::Refused { .. })),
+    ];
+    assert_eq!(refused, [true, false]);
+
+    let streams = serve_late_copies(|attempt, _| {
+        let frame = json!({"id": format!("cmpl-{attempt}"), "model": "base",
+            "choices": [{"text": "token"}]});
+        let head = format!("x-request-id: {attempt}\r\ncontent-type: text/event-stream\r\n");
+        (200, head, format!("data: {frame}\n\ndata: [DONE]\n\n"))
+    })
+    .await;
+    let engine = HttpEngine::new(http_client(), streams.address, EngineSettings::default());
+    for n in 1..=3 {
+        let Ok(mut reply) = engine.start(&call(n)).await else { continue };
+        let mut frames = Vec::new();
+        let mut failed = false;
+        while let Some(frame) = reply.frames.next().await {
+            match frame {
+                Ok(frame) => frames.push(frame.id),
+                Err(_) => failed = true,
+            }
+        }
+        let own = vec![format!("cmpl-{}", AttemptId(n))];
+        assert!(failed || frames == own, "attempt {n}: {frames:?}");
+    }
+}
