Wait for callers' connections at a planned stop, and serve established ones

Seen by operators of similar systems: requests that had just been accepted were cut off without an answer during a planned stop under load. Here it could happen in three ways: - The node ended when no request was in flight, which was counted until the answer's body had been handed over, not until it was written. A slow reader of 12 MB got 3.9 MB. - The listener was closed with connections in its queue. After a delay of the process all 50 callers whose connections were established were cut. - A connection was closed as idle although its next request had arrived. Class: the end of work is measured before the last step of it.

Change: a stopping node ends when no caller's connection is open and none is left to accept. What has arrived is read before a connection is closed as idle, and a new connection has 0.3 s for its first request.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::crash_watch::{self, CrashWatch};
 use crate::deployment::Deployment;
@@ -117,7 +117,12 @@
     /// Whether the endpoints' entries have been read at least once.
     pub(crate) entries_read: Cell<bool>,
     pub(crate) stopping: watch::Sender<bool>,
+    /// When the node began to stop.
+    pub(crate) stopped_at: Cell<Option<Instant>>,
     pub(crate) in_flight: Cell<usize>,
+    /// Callers' connections, including those whose last answer is still being written, and the
+    /// listener while it accepts them.
+    pub(crate) connections: Cell<usize>,
     pub(crate) metrics: Metrics,
     pub(crate) exposition: Exposition,
 }
@@ -153,7 +158,9 @@
             store_failure: Cell::new(Ms(0)),
             entries_read: Cell::new(false),
             stopping: watch::Sender::new(false),
+            stopped_at: Cell::new(None),
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
             metrics: Metrics::with_sink(exposition.clone()),
             exposition,
             deployment,
@@ -219,11 +226,12 @@
 async fn shut_down(edge: &Rc<Edge>) {
     let started = BootClock.now();
     decision!("stopping", "in_flight": edge.in_flight.get());
+    edge.stopped_at.set(Some(Instant::now()));
     edge.stopping.send_replace(true);
     let end = started + edge.deployment.bounds.grace.since(EXIT_MARGIN);
     loop {
         let now = BootClock.now();
-        let idle = edge.in_flight.get() == 0 && now.since(started) >= MIN_SHUTDOWN;
+        let idle = edge.connections.get() == 0 && now.since(started) >= MIN_SHUTDOWN;
         if idle || now >= end {
             break;
         }
@@ -234,7 +242,8 @@
     if timeout(RELEASE_TIMEOUT, store_watcher::release_lease(edge)).await.is_err() {
         log::warn!("releasing the lease timed out; it lapses by itself");
     }
-    decision!("stopped", "in_flight": edge.in_flight.get());
+    decision!("stopped", "in_flight": edge.in_flight.get(),
+        "connections": edge.connections.get());
     log::logger().flush();
     // Gives the log thread time to write.
     sleep(Duration::from_millis(30)).await;
--- a/src/edge_listeners.rs
+++ b/src/edge_listeners.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::edge::Edge;
 use crate::error::{Error, Result};
@@ -27,6 +27,8 @@
 /// Time for which a stopping node still accepts callers. The balancer notices the stop
 /// after two failed checks, one second apart.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_200);
+/// Time that a caller has for its first request on a connection to a stopping node.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
 /// Binds a TCP listener.
 ///
@@ -52,14 +54,33 @@
     }
 }
 
-/// Accepts callers' connections until [`ACCEPT_AFTER_STOP`] after the node began to stop.
+/// Counts a caller's connection, or the listener for them, in [`Edge::connections`].
+struct ConnectionGuard(Rc<Edge>);
+
+impl ConnectionGuard {
+    fn new(edge: &Rc<Edge>) -> Self {
+        edge.connections.set(edge.connections.get() + 1);
+        Self(edge.clone())
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+/// Accepts callers' connections until [`ACCEPT_AFTER_STOP`] after the node began to stop, and
+/// those that were established by then.
 pub(crate) async fn accept_callers(edge: Rc<Edge>, listener: TcpListener) {
-    let accept_period_over = accept_period_over(&edge);
-    tokio::pin!(accept_period_over);
+    let _guard = ConnectionGuard::new(&edge);
+    let period_over = accept_period_over(&edge, Duration::ZERO);
+    tokio::pin!(period_over);
     loop {
         let stream = tokio::select! {
+            biased;
             stream = accept_connection(&listener) => stream,
-            () = &mut accept_period_over => return,
+            () = &mut period_over => return,
         };
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("setting TCP_NODELAY for a caller failed: {e}");
@@ -69,6 +90,7 @@
 }
 
 async fn serve_caller(edge: Rc<Edge>, stream: TcpStream) {
+    let _guard = ConnectionGuard::new(&edge);
     let limits = edge.routing.borrow().limits;
     let idle_timeout = limits.map_or(DEFAULT_CALLER_IDLE, |l| l.idle_timeout);
     let head_bytes = limits.map_or(16 << 10, |l| l.head_bytes).max(8 << 10);
@@ -83,10 +105,12 @@
         .max_buf_size(head_bytes + (16 << 10))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let accept_period_over = accept_period_over(&edge);
+    let period_over = accept_period_over(&edge, FIRST_REQUEST_TIME);
     let ended = tokio::select! {
+        // A request that has arrived is read before the connection is closed as idle.
+        biased;
         ended = connection.as_mut() => ended,
-        () = accept_period_over => {
+        () = period_over => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -96,13 +120,16 @@
     }
 }
 
-/// Resolves when the node has been stopping for [`ACCEPT_AFTER_STOP`].
-fn accept_period_over(edge: &Edge) -> impl Future<Output = ()> + use<> {
-    let mut stopping = edge.stopping.subscribe();
+/// Resolves when the node has been stopping for [`ACCEPT_AFTER_STOP`], but not within `least`
+/// from now.
+fn accept_period_over(edge: &Rc<Edge>, least: Duration) -> impl Future<Output = ()> + use<> {
+    let (edge, earliest) = (edge.clone(), Instant::now() + least);
     async move {
+        let mut stopping = edge.stopping.subscribe();
         // Cannot fail: the sender lives as long as the node.
         let _ = stopping.wait_for(|s| *s).await;
-        sleep(ACCEPT_AFTER_STOP).await;
+        let stopped_at = edge.stopped_at.get().unwrap_or_else(Instant::now);
+        sleep_until(earliest.max(stopped_at + ACCEPT_AFTER_STOP)).await;
     }
 }
 
--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -28,7 +28,7 @@
     Events(Box<EventStream>),
 }
 
-/// Counts a request in [`Edge::in_flight`] until its response has been written.
+/// Counts a request in [`Edge::in_flight`] until its response has been handed over to be written.
 pub(crate) struct InFlightGuard(pub(crate) Rc<Edge>);
 
 impl InFlightGuard {
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -69,6 +69,8 @@
     event_pause: Duration,
     /// Loaded model; `None` at a plain endpoint and at an engine that holds nothing.
     model: Option<String>,
+    /// Bytes appended to each answer of a plain endpoint.
+    padding: usize,
     /// Number of requests to refuse.
     refusals: usize,
     /// Prompt part or body that crashes the endpoint.
@@ -153,6 +155,11 @@
         lock(&self.state).crash_trigger = Some(trigger.to_owned());
     }
 
+    /// Appends this number of bytes to each answer of a plain endpoint.
+    pub fn set_padding(&self, bytes: usize) {
+        lock(&self.state).padding = bytes;
+    }
+
     /// Refuses the next requests, as if their adapters were not loaded.
     pub fn refuse_next(&self, count: usize) {
         lock(&self.state).refusals = count;
@@ -355,7 +362,9 @@
         | EndpointFault::Full
             if !is_engine =>
         {
-            connection.write_answer(200, &head, format!("answer to {attempt}").as_bytes()).await?;
+            let padding = ".".repeat(lock(state).padding);
+            let body = format!("answer to {attempt}{padding}");
+            connection.write_answer(200, &head, body.as_bytes()).await?;
             if fault == EndpointFault::Extra {
                 connection.write_answer(200, &head, b"second answer").await?;
             }
