Bound the memory of answers without end, and check the deadline at each piece

Named by the users: bytes that are no answer may come without end. Sixty such answers at once took 994 MiB of a node whose limit is 390 MiB; on the platform its process would have been killed with all its requests. Cause: each answer was bounded (16 MB), all together were not. Class: a limit per item without a limit on their sum.

Change: answers being read share a budget of an eighth of the memory limit per client; beyond it only small ones (64 KiB) are read on. The rest of a refusal is read up to 64 KiB. A stream's deadline is checked at each piece, since an endpoint that always has data at hand never lets its timer be polled; that could not be brought about in a test (the stream was cut in time before as well).

answers_without_end_stay_within_the_memory_limit failed before (994 MiB).

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -44,16 +44,22 @@
 /// Interval at which the settings file is checked for changes; the platform sometimes
 /// replaces it without sending a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Fraction of the memory limit that answers may take while they are read, per client.
+const BUFFERED_FRACTION: u64 = 8;
+
 /// Settings of the connections to endpoints, the store and peers.
-const CLIENT_SETTINGS: HttpSettings = HttpSettings {
-    // Callers give up on a connection attempt after one second.
-    connect_timeout: Duration::from_millis(700),
-    // Applies to servers that send no keep-alive timeout.
-    idle_timeout: Duration::from_secs(4),
-    max_idle: 24,
-    max_body: 16 << 20,
-    unacked_timeout: Some(Duration::from_millis(1_500)),
-};
+fn client_settings(memory_bytes: u64) -> HttpSettings {
+    HttpSettings {
+        // Callers give up on a connection attempt after one second.
+        connect_timeout: Duration::from_millis(700),
+        // Applies to servers that send no keep-alive timeout.
+        idle_timeout: Duration::from_secs(4),
+        max_idle: 24,
+        max_body: 16 << 20,
+        max_buffered: usize::try_from(memory_bytes / BUFFERED_FRACTION).unwrap_or(usize::MAX),
+        unacked_timeout: Some(Duration::from_millis(1_500)),
+    }
+}
 
 /// An endpoint that this node holds, with the nodes that wait for its adapters.
 #[derive(Debug)]
@@ -133,6 +139,7 @@
         let start = wall_clock().0;
         let exposition = Exposition::default();
         let b = deployment.bounds;
+        let client_settings = client_settings(deployment.memory_bytes);
         let holders =
             EndpointHolders::new(&deployment.node, start, b.handover_pause + Ms(500), now);
         Self {
@@ -151,8 +158,8 @@
             leaving: RefCell::default(),
             adapter_changes: Notify::new(),
             endpoint_added: Notify::new(),
-            data_client: HttpClient::new(CLIENT_SETTINGS),
-            control_client: HttpClient::new(CLIENT_SETTINGS),
+            data_client: HttpClient::new(client_settings),
+            control_client: HttpClient::new(client_settings),
             crash_watch: CrashWatch::default(),
             socket,
             store_failure: Cell::new(Ms(0)),
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,6 +7,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -29,6 +30,12 @@
 /// Time limit for reading the rest of a finished answer.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most bytes read of the rest of a finished answer.
+const MAX_DRAINED_BYTES: usize = 64 << 10;
+
+/// Size of a response that is read even if [`HttpSettings::max_buffered`] is reached.
+pub const SMALL_BODY: usize = 64 << 10;
+
 /// Request body.
 pub type RequestBody = Full<Bytes>;
 
@@ -43,6 +50,9 @@
     pub max_idle: usize,
     /// Maximum response body in bytes.
     pub max_body: usize,
+    /// Bytes that all responses being read to their end may take together. Beyond that, only
+    /// responses up to [`SMALL_BODY`] are still read.
+    pub max_buffered: usize,
     /// Time after which a connection with unacknowledged bytes fails; `None` for the
     /// system's default.
     pub unacked_timeout: Option<Duration>,
@@ -55,6 +65,7 @@
             idle_timeout: Duration::from_secs(30),
             max_idle: 64,
             max_body: 4 << 20,
+            max_buffered: 128 << 20,
             unacked_timeout: None,
         }
     }
@@ -92,6 +103,8 @@
 
 struct ClientShared {
     settings: HttpSettings,
+    /// Bytes of the responses that are being read to their end.
+    buffered: AtomicUsize,
     /// Idle connections with the times until which they may be used.
     idle: Mutex<Map<SocketAddr, Vec<(Connection, Instant)>>>,
 }
@@ -103,7 +116,8 @@
 impl HttpClient {
     /// Creates a client with an empty pool.
     pub fn new(settings: HttpSettings) -> Self {
-        Self(Arc::new(ClientShared { settings, idle: Mutex::default() }))
+        let (buffered, idle) = Default::default();
+        Self(Arc::new(ClientShared { settings, buffered, idle }))
     }
 
     /// Limits of this client.
@@ -247,6 +261,43 @@
     }
 }
 
+/// Body of a response that is being read, counted in [`ClientShared::buffered`].
+struct BodyBuffer {
+    bytes: BytesMut,
+    client: HttpClient,
+}
+
+impl BodyBuffer {
+    /// Appends a piece.
+    ///
+    /// # Errors
+    /// Returns the limit that the body exceeds.
+    fn push(&mut self, piece: &[u8]) -> Result<(), String> {
+        let HttpSettings { max_body, max_buffered, .. } = self.client.0.settings;
+        let size = self.bytes.len() + piece.len();
+        if size > max_body {
+            return Err(format!("response exceeds {max_body} bytes"));
+        }
+        let others = self.client.0.buffered.fetch_add(piece.len(), Ordering::Relaxed);
+        self.bytes.extend_from_slice(piece);
+        if others + piece.len() > max_buffered && size > SMALL_BODY {
+            return Err(format!("responses exceed {max_buffered} bytes together"));
+        }
+        Ok(())
+    }
+
+    fn finish(mut self) -> Bytes {
+        self.client.0.buffered.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+        std::mem::take(&mut self.bytes).freeze()
+    }
+}
+
+impl Drop for BodyBuffer {
+    fn drop(&mut self) {
+        self.client.0.buffered.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+    }
+}
+
 /// Sets the `Host` header to the address unless the request has one.
 fn set_host(addr: SocketAddr, request: &mut Request<Full<Bytes>>) {
     if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
@@ -343,24 +394,22 @@
     /// # Errors
     /// Returns the reason why the body is incomplete.
     pub async fn read_to_end(mut self, deadline: Instant) -> Result<FullResponse, String> {
-        let limit = self.client.0.settings.max_body;
-        let mut body = BytesMut::new();
+        let mut body = BodyBuffer { bytes: BytesMut::new(), client: self.client.clone() };
         loop {
             let Ok(chunk) = timeout_at(deadline, self.chunk()).await else {
                 self.client.close_idle(self.addr);
                 return Err(format!("{}: response incomplete at the deadline", self.addr));
             };
             match chunk {
-                Some(Ok(data)) if body.len() + data.len() <= limit => body.extend_from_slice(&data),
-                Some(Ok(_)) => {
-                    return Err(format!("{}: response exceeds {limit} bytes", self.addr));
+                Some(Ok(data)) => {
+                    body.push(&data).map_err(|reason| format!("{}: {reason}", self.addr))?;
                 }
                 Some(Err(reason)) => return Err(reason),
                 None => break,
             }
         }
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
-        Ok(FullResponse { status, headers, body: body.freeze() })
+        Ok(FullResponse { status, headers, body: body.finish() })
     }
 
     /// Closes this connection and all pooled connections to the same address.
@@ -371,7 +420,13 @@
     /// Reads the rest of the body in the background, so that the connection can be reused.
     pub fn drain(mut self) {
         tokio::spawn(timeout(DRAIN_TIMEOUT, async move {
-            while let Some(Ok(_)) = self.chunk().await {}
+            let mut drained = 0;
+            while let Some(Ok(data)) = self.chunk().await {
+                drained += data.len();
+                if drained > MAX_DRAINED_BYTES {
+                    return;
+                }
+            }
         }));
     }
 }
--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -98,6 +98,11 @@
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.answer.poll_chunk(cx) {
+            // An endpoint that always has data at hand never lets the timer be polled.
+            Poll::Ready(Some(Ok(_))) if Instant::now() >= self.end.deadline() => {
+                self.sent.on_end(RequestOutcome::Silent);
+                self.fail("time is over")
+            }
             Poll::Ready(Some(Ok(data))) => {
                 self.tail.push(&data);
                 if !data.is_empty() {
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -14,6 +14,9 @@
 /// Time from the start of a request that crashes its endpoint to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// Bytes in a piece of a head without end.
+const ENDLESS_PIECE: usize = 4_096;
+
 /// Fault injected into an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EndpointFault {
@@ -36,6 +39,10 @@
     Extra,
     /// Sends a second copy of each answer when the next request arrives on the connection.
     LateCopy,
+    /// Runs the request and sends an answer's head without end.
+    EndlessHead,
+    /// Runs the request and sends an answer without length or end.
+    EndlessBody,
     /// Runs the request and never answers.
     Silent,
 }
@@ -346,6 +353,14 @@
     match fault {
         EndpointFault::Resets => return Ok(false),
         EndpointFault::Silent => sleep(Duration::from_secs(600)).await,
+        EndpointFault::EndlessHead => {
+            connection.write(format!("HTTP/1.1 200 OK\r\n{head}X-Pad: ").as_bytes()).await?;
+            return write_endlessly(connection, &[b'a'; ENDLESS_PIECE]).await;
+        }
+        EndpointFault::EndlessBody => {
+            connection.write(format!("HTTP/1.1 200 OK\r\n{head}\r\n").as_bytes()).await?;
+            return write_endlessly(connection, "data: t\n\n".repeat(1_000).as_bytes()).await;
+        }
         EndpointFault::Unnamed => {
             connection.write_answer(503, "X-Not-Executed: 1\r\n", b"").await?;
         }
@@ -374,6 +389,13 @@
     Ok(true)
 }
 
+/// Writes a piece again and again until the caller closes the connection.
+async fn write_endlessly(connection: &mut Connection, piece: &[u8]) -> io::Result<bool> {
+    loop {
+        connection.write(piece).await?;
+    }
+}
+
 /// Sends a stream of events; `false` if the connection is to be reset.
 async fn send_stream(
     state: &Mutex<State>,
--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -147,6 +147,19 @@
         let _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
+    /// Resident memory of the process, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn resident_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a size");
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kilobytes << 10
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
