Measure a stream's progress by its events, and ask the engine before cutting it

Seen by operators of similar systems: slow but sound streams were cut, and stalled ones that sent a byte now and then never ended. Both could happen in the role serve: - Any byte counted as progress, so an engine that sends comments and no event held a stream until the request's deadline of ten minutes. - A pause longer than the progress timeout cut a stream whose engine cannot resume, although the engine was still running it. Class: liveness of the transport taken for progress of the work, and the reverse.

Change: only an event of the attempt counts. After a time without one, a stream that can be resumed is resumed as before; for any other the engine is asked, and the node waits on while it lists the attempt as running, up to the deadline. The role edge is not affected: it cuts a stream at the request's own deadline only.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -14,7 +14,9 @@
 use crate::attempt::AttemptEvent;
 use crate::config::{Config, PoolKind, ResolvedModel, RouteSpec};
 use crate::denial::{Denial, Reason};
-use crate::engine_client::{Engine, EngineCall, EngineReply, Frame, StartError, Usage};
+use crate::engine_client::{
+    AnswerFrames, Engine, EngineCall, EngineReply, Frame, FrameError, StartError, Usage,
+};
 use crate::entry_node::RequestSpec;
 use crate::gateway::error_event;
 use crate::ids::{AttemptId, Endpoint, RequestId, Team};
@@ -228,7 +230,7 @@
             }
         };
         match started {
-            Ok(mut reply) => match reply.frames.next().await {
+            Ok(mut reply) => match next_frame(&engine, attempt, &mut reply).await {
                 Some(Ok(frame)) => {
                     permit.apply(AttemptEvent::Start);
                     Ok(StartedAttempt { permit, reply, first_frame: Some(frame) })
@@ -390,7 +392,10 @@
         loop {
             let next = match first_frame.take() {
                 Some(frame) => Some(Ok(frame)),
-                None => reply.frames.next().await,
+                None => match self.shell.engine(&permit.endpoint) {
+                    Some(engine) => next_frame(&engine, permit.attempt, &mut reply).await,
+                    None => reply.frames.next().await,
+                },
             };
             let e = match next {
                 Some(Ok(frame)) => {
@@ -491,3 +496,27 @@
         self.shell.record_service_level(&self.call.spec.team, route, &answer);
     }
 }
+
+/// The next frame of an answer. A stream that cannot be resumed is waited for while its engine
+/// says that it runs the attempt, however slow it is.
+async fn next_frame<E: Engine>(
+    engine: &E,
+    attempt: AttemptId,
+    reply: &mut EngineReply<E::Frames>,
+) -> Option<Result<Frame, FrameError>> {
+    loop {
+        let next = reply.frames.next().await;
+        let is_silent = matches!(next, Some(Err(FrameError::Silent)));
+        if !is_silent || reply.resumable {
+            return next;
+        }
+        match engine.state().await {
+            Ok(state) if state.running.contains(&attempt) => reply.frames.wait_on(),
+            Ok(_) => return next,
+            Err(e) => {
+                log::warn!("attempt {attempt} is silent and its engine does not answer: {e}");
+                return next;
+            }
+        }
+    }
+}
--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -168,10 +168,19 @@
     pub dropped: DroppedFrames,
 }
 
+/// Frames of an answer. An error ends them, but for [`FrameError::Silent`] if the caller
+/// waits on.
+pub trait AnswerFrames:
+    Stream<Item = std::result::Result<Frame, FrameError>> + Send + Unpin + 'static
+{
+    /// Waits for frames again after [`FrameError::Silent`].
+    fn wait_on(&mut self);
+}
+
 /// A model engine.
 pub trait Engine: Clone + Send + Sync + 'static {
     /// Frames of a reply.
-    type Frames: Stream<Item = std::result::Result<Frame, FrameError>> + Send + Unpin + 'static;
+    type Frames: AnswerFrames;
 
     /// Loads an adapter into a slot; returns when it is loaded.
     ///
@@ -230,7 +239,7 @@
     pub order_timeout: Duration,
     /// Time limit from a streaming request to the head of its answer.
     pub head_timeout: Duration,
-    /// Maximum time between two pieces of a stream.
+    /// Time without a frame after which a stream counts as silent.
     pub progress_timeout: Duration,
     /// Maximum frame size in bytes.
     pub max_frame: usize,
--- a/src/frames.rs
+++ b/src/frames.rs
@@ -13,10 +13,14 @@
 use serde::Deserialize;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::engine_client::AnswerFrames;
 use crate::http_client::IncomingResponse;
 use crate::ids::AttemptId;
 use crate::sse::SseParser;
 
+/// Pieces without a frame after which the timer is checked although more data is at hand.
+const MAX_PIECES_PER_POLL: usize = 64;
+
 /// Token counts reported by the engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct Usage {
@@ -47,7 +51,7 @@
 /// Reason why the frames of an answer ended early.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FrameError {
-    /// Nothing arrived within the progress timeout.
+    /// No frame of this attempt arrived within the progress timeout.
     Silent,
     /// The request's deadline passed.
     Deadline,
@@ -64,7 +68,7 @@
 impl fmt::Display for FrameError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Silent => f.write_str("no data within the progress timeout"),
+            Self::Silent => f.write_str("no frame within the progress timeout"),
             Self::Deadline => f.write_str("deadline passed"),
             Self::Closed(reason) => write!(f, "answer ended early: {reason}"),
             Self::Failed(_) => f.write_str("engine reported an error"),
@@ -104,8 +108,10 @@
     attempt: String,
     stream: bool,
     limits: FrameLimits,
-    // Expires when the next piece is late.
+    // Expires when the next frame is late.
     timer: Pin<Box<Sleep>>,
+    // Whether the last item was `Silent`, which ends the frames unless the caller waits on.
+    silent: bool,
     sse: SseParser,
     body: BytesMut,
     dropped: DroppedFrames,
@@ -161,6 +167,7 @@
             stream,
             limits,
             timer,
+            silent: false,
             sse: SseParser::default(),
             body: BytesMut::new(),
             dropped,
@@ -194,6 +201,19 @@
         Poll::Ready(Some(Err(broken)))
     }
 
+    /// Returns the item for a frame that did not arrive in time.
+    fn on_late(&mut self) -> Poll<Option<Result<Frame, FrameError>>> {
+        // Pooled connections to the address may be silent as well.
+        if let Some(response) = &self.response {
+            response.close_pooled();
+        }
+        if Instant::now() >= self.limits.deadline {
+            return self.fail(FrameError::Deadline);
+        }
+        self.silent = true;
+        Poll::Ready(Some(Err(FrameError::Silent)))
+    }
+
     /// Returns the next item of a stream from the bytes received so far.
     fn next_frame(&mut self) -> Option<Poll<Option<Result<Frame, FrameError>>>> {
         while let Some(raw) = self.sse.next_event() {
@@ -204,7 +224,10 @@
                 return Some(Poll::Ready(None));
             }
             match self.parse(raw) {
-                ParsedFrame::Frame(frame) => return Some(Poll::Ready(Some(Ok(frame)))),
+                ParsedFrame::Frame(frame) => {
+                    self.timer.as_mut().reset(wait_deadline(&self.limits));
+                    return Some(Poll::Ready(Some(Ok(frame))));
+                }
                 ParsedFrame::Foreign => self.dropped.increment(),
                 ParsedFrame::Failed(raw) => return Some(self.fail(FrameError::Failed(raw))),
                 ParsedFrame::Malformed(reason) => {
@@ -235,11 +258,23 @@
     limits.progress_timeout.map_or(limits.deadline, |p| limits.deadline.min(Instant::now() + p))
 }
 
+impl AnswerFrames for Frames {
+    fn wait_on(&mut self) {
+        self.silent = false;
+        self.timer.as_mut().reset(wait_deadline(&self.limits));
+    }
+}
+
 impl Stream for Frames {
     type Item = Result<Frame, FrameError>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let this = &mut *self;
+        if this.silent {
+            this.response = None;
+        }
+        // Pieces without a frame, received in this call.
+        let mut pieces = 0;
         loop {
             if this.response.is_none() {
                 return Poll::Ready(None);
@@ -250,9 +285,13 @@
             let Some(response) = this.response.as_mut() else {
                 return Poll::Ready(None);
             };
+            // An engine that always has data at hand never lets the timer be polled.
+            if pieces > MAX_PIECES_PER_POLL && Instant::now() >= this.timer.deadline() {
+                return this.on_late();
+            }
             match response.poll_chunk(cx) {
                 Poll::Ready(Some(Ok(data))) => {
-                    this.timer.as_mut().reset(wait_deadline(&this.limits));
+                    pieces += 1;
                     match this.stream {
                         true => this.sse.push(&data),
                         false => this.body.extend_from_slice(&data),
@@ -270,12 +309,7 @@
                     if this.timer.as_mut().poll(cx).is_pending() {
                         return Poll::Pending;
                     }
-                    // Pooled connections to the address may be silent as well.
-                    if let Some(response) = this.response.take() {
-                        response.close_connections();
-                    }
-                    let late = Instant::now() >= this.limits.deadline;
-                    return this.fail(if late { FrameError::Deadline } else { FrameError::Silent });
+                    return this.on_late();
                 }
             }
         }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -412,8 +412,8 @@
         Ok(FullResponse { status, headers, body: body.finish() })
     }
 
-    /// Closes this connection and all pooled connections to the same address.
-    pub fn close_connections(self) {
+    /// Closes all pooled connections to the same address.
+    pub fn close_pooled(&self) {
         self.client.close_idle(self.addr);
     }
 
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -13,7 +13,8 @@
 use serde_json::{Value, json};
 use standin::load::{Caller, LoadPlan, run_load};
 use sycamorefork::engine_client::{
-    Engine, EngineCall, EngineSettings, FrameError, HttpEngine, OrderError, StartError,
+    AnswerFrames, Engine, EngineCall, EngineSettings, FrameError, HttpEngine, OrderError,
+    StartError,
 };
 use sycamorefork::faulty_listener::RunningServer;
 use sycamorefork::http_client::{HttpClient, HttpSettings};
@@ -525,3 +526,33 @@
         assert!(failed || frames == own, "attempt {n}: {frames:?}");
     }
 }
+
+/// Guards against waiting without end for a stream that sends a byte now and then and no event,
+/// and against cutting a stream that its engine still runs.
+#[tokio::test]
+async fn stream_without_events_is_silent_and_can_be_waited_for() {
+    let server = standin::http_server::serve(|mut connection| async move {
+        let Some(request) = connection.read_request().await? else { return Ok(()) };
+        let attempt = request.header("x-request-id").unwrap_or_default().to_owned();
+        connection.write(b"HTTP/1.1 200 OK\r\n\r\n").await?;
+        for _ in 0..15 {
+            connection.write(b":\n").await?;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let frame = json!({"id": attempt, "model": "base", "choices": [{"text": "token"}]});
+        connection.write(format!("data: {frame}\n\ndata: [DONE]\n\n").as_bytes()).await
+    })
+    .await
+    .unwrap();
+    let settings =
+        EngineSettings { progress_timeout: Duration::from_secs(1), ..Default::default() };
+    let engine = HttpEngine::new(http_client(), server.address, settings);
+    let mut reply = engine.start(&call(1, &body("base", true, 4))).await.unwrap();
+    assert_eq!(reply.frames.next().await, Some(Err(FrameError::Silent)));
+    assert_eq!(reply.frames.next().await, None);
+    let mut reply = engine.start(&call(2, &body("base", true, 4))).await.unwrap();
+    assert_eq!(reply.frames.next().await, Some(Err(FrameError::Silent)));
+    reply.frames.wait_on();
+    assert_eq!(reply.frames.next().await.unwrap().unwrap().tokens, 1);
+    assert_eq!(reply.frames.next().await, None);
+}
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -130,6 +130,11 @@
 impl Deployment {
     /// Starts all processes and waits until each node routes to each endpoint.
     pub async fn start(nodes: usize, engines: usize) -> Self {
+        Self::start_with(nodes, engines, &[]).await
+    }
+
+    /// Starts all processes, the engines with further arguments.
+    pub async fn start_with(nodes: usize, engines: usize, engine_args: &[&str]) -> Self {
         let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("deployment-{}-{number}", std::process::id()));
@@ -145,10 +150,10 @@
             _platform: process,
         };
         for n in 0..engines {
-            deployment.add_endpoint(&format!("engine-{n}"), "engine", n % 2 == 0);
+            deployment.add_endpoint(&format!("engine-{n}"), "engine", n % 2 == 0, engine_args);
         }
         for n in 0..2 {
-            deployment.add_endpoint(&format!("bookings-{n}"), "service", false);
+            deployment.add_endpoint(&format!("bookings-{n}"), "service", false, &[]);
         }
         for n in 0..nodes {
             deployment.add_node(&format!("node-{n}"));
@@ -162,8 +167,9 @@
         deployment
     }
 
-    fn add_endpoint(&mut self, name: &str, role: &'static str, fenced: bool) {
+    fn add_endpoint(&mut self, name: &str, role: &'static str, fenced: bool, extra: &[&str]) {
         let mut args = vec!["endpoint", "--listen", "127.0.0.1:0", "--name", name, "--role", role];
+        args.extend(extra);
         if fenced {
             args.push("--checks-fence");
         }
--- a/tests/faults_endpoints.rs
+++ b/tests/faults_endpoints.rs
@@ -186,3 +186,13 @@
         assert_eq!(code, 200, "{body}");
     }
 }
+
+// Guards against cutting a stream only because its engine is slow: two seconds are the time
+// without progress after which nodes ask the engine whether it still runs the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_stream_of_an_engine_that_cannot_resume_is_not_cut() {
+    let d = Deployment::start_with(1, 1, &["--no-resume", "--rate", "0.35"]).await;
+    let mut stream = d.open_stream(0, 0, "slow", 4).await;
+    assert_eq!(stream.read_to_end().await, StreamEnd::Done);
+    assert!(stream.is_complete());
+}
