Check the permission to send once the connection is open

Seen by operators of similar systems: a process that had been paused acted on a permission that had run out meanwhile. Here the permission (the lease of an order, the permit of a request) was checked, and then a pooled connection was waited for or a new one opened, for up to a second or as long as the process was paused, before anything was written. In both roles. Class: a check that is separated from the act by a wait.

Change: the client checks again when the connection is at hand, directly before the request is handed to it. What is left is the way from there to the socket, without a wait on the network.

nothing_is_written_once_the_permission_has_run_out covers new and pooled connections; the interface it uses did not exist before, so there is no failing run of it.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -211,6 +211,7 @@
             body: self.call.parsed.engine_body(&self.call.model, self.call.spec.priority),
             stream: self.call.parsed.stream,
             deadline: self.shell.to_instant(self.call.spec.deadline),
+            expiry: permit.expiry,
             resume_offset: None,
         };
         let Some(engine) = self.shell.engine(&endpoint) else {
@@ -436,6 +437,8 @@
             body: self.call.parsed.engine_body(&self.call.model, self.call.spec.priority),
             stream: true,
             deadline: self.shell.to_instant(self.call.spec.deadline),
+            // The attempt runs already.
+            expiry: Ms(u64::MAX),
             resume_offset: Some(self.received_tokens),
         };
         for n in 1..=RESUME_ATTEMPTS_MAX {
--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -26,6 +26,7 @@
 use crate::frames::{FrameLimits, Frames};
 use crate::http_client::{FullResponse, HttpClient, IncomingResponse, SendError, build_request};
 use crate::ids::{AdapterRef, AttemptId};
+use crate::time::{BootClock, Clock, Ms};
 
 pub use crate::frames::{DroppedFrames, Frame, FrameError, Usage};
 
@@ -59,6 +60,8 @@
     pub stream: bool,
     /// Time by which the complete answer must have arrived.
     pub deadline: Instant,
+    /// Time of [`BootClock`] from which the request must not be written any more.
+    pub expiry: Ms,
     /// Number of tokens after which to resume the attempt's stream.
     pub resume_offset: Option<u64>,
 }
@@ -182,7 +185,8 @@
     /// Frames of a reply.
     type Frames: AnswerFrames;
 
-    /// Loads an adapter into a slot; returns when it is loaded.
+    /// Loads an adapter into a slot; returns when it is loaded. The order is written only if
+    /// `allowed` still holds once a connection is at hand.
     ///
     /// # Errors
     /// The error states whether the order may have taken effect.
@@ -190,9 +194,10 @@
         &self,
         fence: u64,
         adapter: &AdapterRef,
+        allowed: impl Fn() -> bool + Send + Sync,
     ) -> impl Future<Output = std::result::Result<(), OrderError>> + Send;
 
-    /// Unloads an adapter from its slot.
+    /// Unloads an adapter from its slot; `allowed` as for [`Engine::load`].
     ///
     /// # Errors
     /// The error states whether the order may have taken effect.
@@ -200,6 +205,7 @@
         &self,
         fence: u64,
         adapter: &AdapterRef,
+        allowed: impl Fn() -> bool + Send + Sync,
     ) -> impl Future<Output = std::result::Result<(), OrderError>> + Send;
 
     /// Reads the engine's state.
@@ -282,12 +288,14 @@
         fence: u64,
         body: serde_json::Value,
         time: Duration,
+        allowed: impl Fn() -> bool,
     ) -> std::result::Result<(), OrderError> {
         let body = Bytes::from(body.to_string());
         let mut req = build_request(Method::POST, path, body).map_err(OrderError::Unsent)?;
         set_json(req.headers_mut());
         req.headers_mut().insert(X_FENCE, HeaderValue::from(fence));
-        let response = self.http.fetch(self.addr, req, Instant::now() + time).await?;
+        let deadline = Instant::now() + time;
+        let response = self.http.fetch_if(self.addr, req, deadline, allowed).await?;
         match response.status {
             s if s.is_success() => Ok(()),
             StatusCode::CONFLICT => Err(OrderError::Fenced),
@@ -340,19 +348,27 @@
 impl Engine for HttpEngine {
     type Frames = Frames;
 
-    async fn load(&self, fence: u64, adapter: &AdapterRef) -> std::result::Result<(), OrderError> {
+    async fn load(
+        &self,
+        fence: u64,
+        adapter: &AdapterRef,
+        allowed: impl Fn() -> bool + Send + Sync,
+    ) -> std::result::Result<(), OrderError> {
         let path = format!("{}/{}", adapter.adapter, adapter.version);
         let body = serde_json::json!({ "lora_name": adapter.to_string(), "lora_path": path });
-        self.send_order("/v1/load_lora_adapter", fence, body, self.settings.load_timeout).await
+        let time = self.settings.load_timeout;
+        self.send_order("/v1/load_lora_adapter", fence, body, time, allowed).await
     }
 
     async fn unload(
         &self,
         fence: u64,
         adapter: &AdapterRef,
+        allowed: impl Fn() -> bool + Send + Sync,
     ) -> std::result::Result<(), OrderError> {
         let body = serde_json::json!({ "lora_name": adapter.to_string() });
-        self.send_order("/v1/unload_lora_adapter", fence, body, self.settings.order_timeout).await
+        let time = self.settings.order_timeout;
+        self.send_order("/v1/unload_lora_adapter", fence, body, time, allowed).await
     }
 
     async fn state(&self) -> Result<EngineState> {
@@ -415,7 +431,8 @@
             true => call.deadline.min(Instant::now() + self.settings.head_timeout),
             false => call.deadline,
         };
-        let mut response = self.http.send(self.addr, req, first).await?;
+        let allowed = || BootClock.now() < call.expiry;
+        let mut response = self.http.send_if(self.addr, req, first, allowed).await?;
         check_attempt(&mut response, call.attempt)?;
         if !response.status.is_success() {
             let response =
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -133,23 +133,41 @@
     /// # Errors
     /// The error states whether the request may have been received.
     pub async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<IncomingResponse, SendError> {
+        self.send_if(addr, request, deadline, || true).await
+    }
+
+    /// Sends a request if `allowed` still holds once a connection is at hand, which may take
+    /// long in a process that is paused; see [`HttpClient::send`].
+    ///
+    /// # Errors
+    /// The error states whether the request may have been received.
+    pub async fn send_if(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
         deadline: Instant,
+        allowed: impl Fn() -> bool,
     ) -> Result<IncomingResponse, SendError> {
         set_host(addr, &mut request);
         while let Some(mut conn) = self.take_idle(addr) {
             if !matches!(timeout(READY_TIMEOUT, conn.sender.ready()).await, Ok(Ok(()))) {
                 continue;
             }
+            if !allowed() {
+                return Err(not_allowed(addr));
+            }
             match self.send_on(addr, conn, request, deadline).await {
                 Ok(answer) => return Ok(answer),
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(error),
             }
         }
-        self.send_fresh(addr, request, deadline).await
+        self.send_fresh_if(addr, request, deadline, allowed).await
     }
 
     /// Sends a request on a new connection; see [`HttpClient::send`].
@@ -157,10 +175,20 @@
     /// # Errors
     /// The error states whether the request may have been received.
     pub async fn send_fresh(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<IncomingResponse, SendError> {
+        self.send_fresh_if(addr, request, deadline, || true).await
+    }
+
+    async fn send_fresh_if(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
         deadline: Instant,
+        allowed: impl Fn() -> bool,
     ) -> Result<IncomingResponse, SendError> {
         set_host(addr, &mut request);
         let until = deadline.min(Instant::now() + self.0.settings.connect_timeout);
@@ -169,6 +197,9 @@
             Ok(Err(reason)) => return Err(SendError::Unsent(reason)),
             Err(_) => return Err(SendError::Unsent(format!("{addr}: connect timed out"))),
         };
+        if !allowed() {
+            return Err(not_allowed(addr));
+        }
         self.send_on(addr, conn, request, deadline).await.map_err(|(error, _)| error)
     }
 
@@ -182,7 +213,22 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<FullResponse, SendError> {
-        let answer = self.send(addr, request, deadline).await?;
+        self.fetch_if(addr, request, deadline, || true).await
+    }
+
+    /// Sends a request if `allowed` still holds once a connection is at hand, and reads the
+    /// complete response until `deadline`; see [`HttpClient::send_if`].
+    ///
+    /// # Errors
+    /// The error states whether the request may have been received.
+    pub async fn fetch_if(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+        allowed: impl Fn() -> bool,
+    ) -> Result<FullResponse, SendError> {
+        let answer = self.send_if(addr, request, deadline, allowed).await?;
         answer.read_to_end(deadline).await.map_err(SendError::Unknown)
     }
 
@@ -261,6 +307,10 @@
     }
 }
 
+fn not_allowed(addr: SocketAddr) -> SendError {
+    SendError::Unsent(format!("{addr}: the permission to send has run out"))
+}
+
 /// Body of a response that is being read, counted in [`ClientShared::buffered`].
 struct BodyBuffer {
     bytes: BytesMut,
--- a/src/order_executor.rs
+++ b/src/order_executor.rs
@@ -95,20 +95,23 @@
     }
 }
 
+/// Sends a request to an endpoint if `allowed` still holds once a connection is at hand.
 async fn send_request(
     edge: &Edge,
     id: &str,
     request: Request<Full<Bytes>>,
     time_limit: Duration,
+    allowed: impl Fn() -> bool,
 ) -> Result<FullResponse> {
     let address = edge.table.borrow().get(id).map(|e| e.entry.address);
     let address = address.ok_or_else(|| Error::state(id, "not listed"))?;
-    let answer = edge.control_client.fetch(address, request, Instant::now() + time_limit).await;
+    let deadline = Instant::now() + time_limit;
+    let answer = edge.control_client.fetch_if(address, request, deadline, allowed).await;
     answer.map_err(|e| Error::io(id, e))
 }
 
 async fn read_report(edge: &Edge, id: &str) -> Result<Report> {
-    let answer = send_request(edge, id, order::report_request(id), REPORT_TIMEOUT).await?;
+    let answer = send_request(edge, id, order::report_request(id), REPORT_TIMEOUT, || true).await?;
     if answer.status != StatusCode::OK {
         return Err(Error::platform(id, format!("report: status {}", answer.status)));
     }
@@ -153,13 +156,14 @@
         return OrderResult::Refused;
     };
     let request = order::order_request(&order, id);
-    // The lease may have lapsed since the step was planned.
-    if edge.holders.borrow().fence(BootClock.now(), id) != Some(fence) {
+    // The lease may lapse between the planning of a step and the sending of its order.
+    let allowed = || edge.holders.borrow().fence(BootClock.now(), id) == Some(fence);
+    if !allowed() {
         return OrderResult::Refused;
     }
     let begun = BootClock.now();
     let time_limit = edge.held.borrow().get(id).map_or(REPORT_TIMEOUT, HeldEndpoint::order_timeout);
-    match send_request(edge, id, request, time_limit).await {
+    match send_request(edge, id, request, time_limit, allowed).await {
         Ok(answer) => {
             let response = order::decode_status(answer.status);
             if response == OrderResponse::Misdirected {
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -34,7 +34,7 @@
     /// Fencing token that the request carries.
     pub(crate) fence: u64,
     /// Instant at which the permit expires unless the attempt has been sent.
-    expiry: Ms,
+    pub(crate) expiry: Ms,
     /// State of the attempt.
     pub(crate) state: AttemptState,
     /// Tokens served so far.
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -238,6 +238,7 @@
             headers: self.request.headers.clone(),
             body: self.request.body.clone(),
             deadline: self.shell.to_instant(self.spec.deadline),
+            expiry: permit.expiry,
         };
         let Some(service) = self.shell.service(endpoint) else {
             return Err(self.not_sent(permit, "the endpoint is no longer listed"));
--- a/src/service_client.rs
+++ b/src/service_client.rs
@@ -24,6 +24,7 @@
 use crate::error::{Error, Result};
 use crate::http_client::{HttpClient, build_request};
 use crate::ids::AttemptId;
+use crate::time::{BootClock, Clock, Ms};
 
 /// Request headers that are forwarded to services.
 const FORWARDED_HEADERS: [&str; 9] = [
@@ -71,6 +72,8 @@
     pub body: Bytes,
     /// Time by which the complete answer must have arrived.
     pub deadline: Instant,
+    /// Time of [`BootClock`] from which the request must not be written any more.
+    pub expiry: Ms,
 }
 
 /// Response of a service.
@@ -212,7 +215,8 @@
             .map_err(StartError::Unsent)?;
         *req.headers_mut() = forwardable_headers(&call.headers, None);
         set_attempt_headers(req.headers_mut(), call.attempt, call.fence);
-        let mut response = self.http.send(self.addr, req, call.deadline).await?;
+        let allowed = || BootClock.now() < call.expiry;
+        let mut response = self.http.send_if(self.addr, req, call.deadline, allowed).await?;
         check_attempt(&mut response, call.attempt)?;
         let response = response.read_to_end(call.deadline).await.map_err(StartError::Unknown)?;
         let status = response.status.as_u16();
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -426,7 +426,8 @@
             self.order_fence(&order.endpoint, OrderKind::Load),
         ) {
             (Some(engine), Some(fence)) => {
-                let result = engine.load(fence, &order.adapter).await;
+                let allowed = || self.order_fence(&order.endpoint, OrderKind::Load) == Some(fence);
+                let result = engine.load(fence, &order.adapter, allowed).await;
                 if result == Err(OrderError::Fenced) {
                     self.on_fence_refused(&order.endpoint, fence);
                 }
@@ -448,7 +449,8 @@
         self.metrics.evictions(1);
         let result = match (self.engine(&order.endpoint), self.evict_fence(&order)) {
             (Some(engine), Some(fence)) => {
-                let result = engine.unload(fence, &order.adapter).await;
+                let allowed = || self.evict_fence(&order) == Some(fence);
+                let result = engine.unload(fence, &order.adapter, allowed).await;
                 if result == Err(OrderError::Fenced) {
                     self.on_fence_refused(&order.endpoint, fence);
                 }
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -22,11 +22,14 @@
 use sycamorefork::sample_engine::{EngineSpec, Fault, SampleEngine, expected_text};
 use sycamorefork::sample_service::{SampleService, ServiceSpec};
 use sycamorefork::service_client::{HttpService, Service, ServiceCall, forwardable_headers};
+use sycamorefork::time::Ms;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 const SEED: u64 = 0x5eed_0001;
+/// Expiry of a request that may be sent at any time.
+const NEVER: Ms = Ms(u64::MAX);
 
 fn any_port() -> SocketAddr {
     ([127, 0, 0, 1], 0).into()
@@ -80,6 +83,7 @@
         body: Bytes::from(body.to_string()),
         stream: body["stream"] == true,
         deadline: test_deadline(),
+        expiry: NEVER,
         resume_offset: None,
     }
 }
@@ -114,10 +118,10 @@
     assert!(matches!(early, Err(StartError::Refused { status: 404, .. })), "{early:?}");
     assert_eq!(fixture.sample.record().executions, 0, "a refused request does not run");
 
-    fixture.engine.load(7, &adapter).await.unwrap();
-    let full = fixture.engine.load(7, &AdapterRef::new("more", "1")).await;
+    fixture.engine.load(7, &adapter, || true).await.unwrap();
+    let full = fixture.engine.load(7, &AdapterRef::new("more", "1"), || true).await;
     assert!(matches!(full, Err(OrderError::Refused { status: 400, .. })));
-    assert_eq!(fixture.engine.unload(6, &adapter).await, Err(OrderError::Fenced));
+    assert_eq!(fixture.engine.unload(6, &adapter, || true).await, Err(OrderError::Fenced));
     let state = fixture.engine.state().await.unwrap();
     assert_eq!((state.loaded, state.fence, state.adapter_slots), (vec![adapter.clone()], 7, 1));
 
@@ -149,8 +153,8 @@
     assert_eq!((text, tokens + more, end), (expected_text(&stream), 9, None));
 
     fixture.sample.apply_fault(&Fault { fail_loads: Some(1), ..Fault::default() });
-    fixture.engine.unload(8, &adapter).await.unwrap();
-    let failed = fixture.engine.load(8, &adapter).await;
+    fixture.engine.unload(8, &adapter, || true).await.unwrap();
+    let failed = fixture.engine.load(8, &adapter, || true).await;
     assert!(matches!(failed, Err(OrderError::Refused { status: 500, .. })), "{failed:?}");
 }
 
@@ -312,8 +316,8 @@
     let short = body("base", false, 2);
     assert!(read_answer(&fixture.engine, &call(1, &short)).await.2.is_none());
     let before = fixture.engine.state().await.unwrap().incarnation;
-    fixture.engine.load(1, &AdapterRef::new("demo", "1")).await.unwrap_err();
-    fixture.engine.load(8, &AdapterRef::new("demo", "1")).await.unwrap();
+    fixture.engine.load(1, &AdapterRef::new("demo", "1"), || true).await.unwrap_err();
+    fixture.engine.load(8, &AdapterRef::new("demo", "1"), || true).await.unwrap();
     let crash_marker = Some("POISON".to_owned());
     fixture.sample.apply_fault(&Fault { crash_marker, crash_ms: Some(300), ..Fault::default() });
     let mut poison = body("base", false, 2);
@@ -369,6 +373,7 @@
         headers: forwardable_headers(&headers, Some("sk-secret")),
         body: Bytes::from(format!("{{\"booking\":\"b{n}\"}}")),
         deadline: test_deadline(),
+        expiry: NEVER,
     };
     let reply = service.call(&call(1)).await.unwrap();
     let answer: Value = serde_json::from_slice(&reply.body).unwrap();
@@ -478,6 +483,7 @@
                 headers: HeaderMap::new(),
                 body: Bytes::new(),
                 deadline: test_deadline(),
+                expiry: NEVER,
             };
             match service.call(&call).await {
                 Ok(reply) => assert_eq!(reply.body, format!("answer to {}", AttemptId(n))),
@@ -556,3 +562,39 @@
     assert_eq!(reply.frames.next().await.unwrap().unwrap().tokens, 1);
     assert_eq!(reply.frames.next().await, None);
 }
+
+/// Guards against writing an order or a request whose permission has run out while its connection
+/// was being opened, as after a pause of the process.
+#[tokio::test]
+async fn nothing_is_written_once_the_permission_has_run_out() {
+    let read = Arc::new(Mutex::new(Vec::new()));
+    let seen = read.clone();
+    let server = standin::http_server::serve(move |mut connection| {
+        let seen = seen.clone();
+        async move {
+            while let Some(request) = connection.read_request().await? {
+                seen.lock().unwrap().push(request.path);
+                connection.write_answer(200, "", b"{}").await?;
+            }
+            Ok(())
+        }
+    })
+    .await
+    .unwrap();
+    let engine = HttpEngine::new(http_client(), server.address, EngineSettings::default());
+    let adapter = AdapterRef::new("demo", "1");
+    let mut late = call(1, &body("base", false, 2));
+    late.expiry = Ms(0);
+    // On new connections, and then on a pooled one.
+    for _ in 0..2 {
+        let load = engine.load(7, &adapter, || false).await;
+        assert!(matches!(load, Err(OrderError::Unsent(_))), "{load:?}");
+        let unload = engine.unload(7, &adapter, || false).await;
+        assert!(matches!(unload, Err(OrderError::Unsent(_))), "{unload:?}");
+        let start = engine.start(&late).await.map(|_| ());
+        assert!(matches!(start, Err(StartError::Unsent(_))), "{start:?}");
+        let _ = engine.state().await;
+    }
+    let written = read.lock().unwrap().clone();
+    assert!(written.iter().all(|p| p == "/load" || p == "/v1/models"), "{written:?}");
+}
