Claim an endpoint only from the lease that was seen to lapse

Seen by operators of similar systems: a process that had been delayed for some seconds acted on a permission that had run out meanwhile. Two ways led to two nodes that order one endpoint: - A claimant finds a lease lapsed, is paused, and writes its claim when the holder has renewed its lease and goes on: the claim was conditional on the endpoint's row only, which the holder does not change. The holder would read of it up to 15 s later, the claimant orders after 3.5 s. - A renewal that was sent before the lease lapsed and acknowledged after it prolonged the lease without reading the holders again. Class: the state that a decision rests on is not part of the write's condition.

Change: a claim's transaction also requires the former holder's lease to have the version that was seen to lapse, or to be absent as it was seen. A lease that has lapsed by the time its renewal is acknowledged counts as lapsed.

renewal_acknowledged_after_the_lapse_allows_no_orders_before_the_holders_are_read failed with the former condition (orders allowed with fence 24); claim_requires_the_lapsed_lease_to_be_unchanged covers the claim, whose type lacked the field before. Two existing tests of claims now expect the lease.

--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -72,6 +72,9 @@
     pub expected: u64,
     /// Pause between the claim and the first order.
     pub pause: Ms,
+    /// Former holder and the version that its lease must have; 0 if it must have none. The
+    /// lease was found lapsed or released, and must not have been renewed since.
+    pub former_lease: Option<(Rc<str>, u64)>,
 }
 
 /// Counts of endpoints from which claims are decided.
@@ -127,12 +130,12 @@
         }
     }
 
-    /// Records that the store has acknowledged a renewal sent at `sent`.
+    /// Records that the store has acknowledged, at `acknowledged`, a renewal sent at `sent`.
     ///
     /// After a lapse other nodes may hold the endpoints of this node, so the holders must be
     /// read before the next order.
-    pub fn on_renewed(&mut self, sent: Ms) {
-        if sent >= self.lease_end {
+    pub fn on_renewed(&mut self, sent: Ms, acknowledged: Ms) {
+        if acknowledged >= self.lease_end {
             self.held.clear();
             self.pauses.clear();
         }
@@ -273,15 +276,22 @@
             if self.held.contains_key(id) {
                 continue;
             }
-            let claim = |expected, pause| HolderClaim { endpoint: id.clone(), expected, pause };
+            let claim = |expected, pause, former_lease| HolderClaim {
+                endpoint: id.clone(),
+                expected,
+                pause,
+                former_lease,
+            };
             match self.holders.get(id) {
                 // Held by this node before its process restarted.
-                Some(h) if h.node == self.name => claims.push(claim(h.fence, Ms(0))),
+                Some(h) if h.node == self.name => claims.push(claim(h.fence, Ms(0), None)),
                 Some(h) if self.is_live(now, &h.node) => {}
                 _ if !settled => {}
                 Some(h) => {
                     if self.preferred_node(&names, &counts, per_node, id) == Some(&*self.name) {
-                        claims.push(claim(h.fence, self.handover_pause));
+                        let lease = self.nodes.get(&h.node).map_or(0, |n| n.version);
+                        let former_lease = Some((h.node.clone(), lease));
+                        claims.push(claim(h.fence, self.handover_pause, former_lease));
                         own += 1;
                     }
                 }
@@ -289,7 +299,7 @@
                     if self.preferred_node(&names, &counts, per_node, id) == Some(&*self.name)
                         && own < per_node
                     {
-                        claims.push(claim(0, Ms(0)));
+                        claims.push(claim(0, Ms(0), None));
                         own += 1;
                     }
                 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -66,6 +66,17 @@
     pub value: Option<&'a [u8]>,
 }
 
+/// A condition of a transaction on a row that it does not change.
+#[derive(Clone, Debug)]
+pub struct Condition<'a> {
+    /// Table name.
+    pub table: &'a str,
+    /// Key within the table.
+    pub key: &'a str,
+    /// Version that the row must have; 0 if it must not exist.
+    pub version: u64,
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireTx<'a> {
@@ -162,8 +173,15 @@
 }
 
 /// Builds the request for a transaction over rows without a partition.
-pub fn commit_request(changes: &[Change<'_>]) -> Request<Full<Bytes>> {
+pub fn commit_request(
+    changes: &[Change<'_>],
+    conditions: &[Condition<'_>],
+) -> Request<Full<Bytes>> {
     let mut tx = WireTx { expected: Vec::new(), put: Vec::new(), remove: Vec::new() };
+    for c in conditions {
+        let (table, key, part, ver) = (c.table, c.key, "", c.version);
+        tx.expected.push(WireExpected { table, part, key, ver });
+    }
     for c in changes {
         let (table, key, part) = (c.table, c.key, "");
         if let Some(ver) = c.expected {
--- a/src/quarantine_store.rs
+++ b/src/quarantine_store.rs
@@ -51,13 +51,13 @@
     let key = key_of(entry.fingerprint);
     let change = Change { table: TABLE, key: &key, expected: Some(0), value: Some(&value) };
     // If the row exists, another node has written it, and the next read finds it.
-    commit(edge, &[change]).await.map(drop)
+    commit(edge, &[change], &[]).await.map(drop)
 }
 
 async fn remove_row(edge: &Edge, feature: u64) -> Result<()> {
     let key = key_of(feature);
     let change = Change { table: TABLE, key: &key, expected: None, value: None };
-    commit(edge, &[change]).await.map(drop)
+    commit(edge, &[change], &[]).await.map(drop)
 }
 
 /// Reads the rows and brings this node's entries and the rows in line; false if the store was
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -13,7 +13,7 @@
 use crate::error::{Error, Result};
 use crate::http_client::FullResponse;
 use crate::log_sink::decision;
-use crate::platform::store::{self, Change, Outcome, Row, Rows};
+use crate::platform::store::{self, Change, Condition, Outcome, Row, Rows};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Time limit of a call, on top of the wait that it asks the store for.
@@ -98,8 +98,13 @@
     store::decode_rows(answer.status, &answer.body)
 }
 
-pub(crate) async fn commit(edge: &Edge, changes: &[Change<'_>]) -> Result<Outcome<u64>> {
-    let request = store::commit_request(changes);
+/// Commits changes if the conditions hold.
+pub(crate) async fn commit(
+    edge: &Edge,
+    changes: &[Change<'_>],
+    conditions: &[Condition<'_>],
+) -> Result<Outcome<u64>> {
+    let request = store::commit_request(changes, conditions);
     let answer = call_store(edge, request, Ms(0)).await?;
     store::decode_commit(answer.status, &answer.body)
 }
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -25,7 +25,7 @@
 use crate::ids::{Map, Set};
 use crate::log_sink::decision;
 use crate::mesh;
-use crate::platform::store::{Change, Outcome, Row};
+use crate::platform::store::{Change, Condition, Outcome, Row};
 use crate::platform::{document, entry};
 use crate::store_calls::{CALL_TIMEOUT, Dependency, commit, log_unreadable, read_all, read_feed};
 use crate::time::{BootClock, Clock, Ms};
@@ -315,9 +315,9 @@
     let value = serde_json::to_vec(&value).map_err(|e| Error::input(NODES_TABLE, e))?;
     let key = edge.deployment.node.as_str();
     let change = Change { table: NODES_TABLE, key, expected: None, value: Some(&value) };
-    let done = matches!(commit(edge, &[change]).await?, Outcome::Done(_));
+    let done = matches!(commit(edge, &[change], &[]).await?, Outcome::Done(_));
     if done {
-        edge.holders.borrow_mut().on_renewed(sent);
+        edge.holders.borrow_mut().on_renewed(sent, BootClock.now());
     }
     Ok(done)
 }
@@ -370,7 +370,13 @@
         expected: Some(claim.expected),
         value: Some(&value),
     };
-    match commit(edge, &[change]).await? {
+    let former_lease = claim.former_lease.as_ref();
+    let condition = former_lease.map(|(node, version)| Condition {
+        table: NODES_TABLE,
+        key: node,
+        version: *version,
+    });
+    match commit(edge, &[change], condition.as_slice()).await? {
         Outcome::Done(_) => {
             decision!("holder_claimed", "endpoint": &*claim.endpoint,
                 "before": claim.expected, "pause_ms": claim.pause.0);
@@ -489,7 +495,7 @@
     edge.holders.borrow_mut().release();
     let key = edge.deployment.node.as_str();
     let change = Change { table: NODES_TABLE, key, expected: None, value: None };
-    if let Err(e) = commit(edge, &[change]).await {
+    if let Err(e) = commit(edge, &[change], &[]).await {
         log::warn!("removing the node's row failed; its lease lapses by itself: {e}");
     }
 }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -234,8 +234,10 @@
     let request = store::rows_request("holders", "i 7&").unwrap();
     assert_eq!(request.uri(), "/rows-get?Table=holders&part=&From=i%207%26");
     let change = Change { table: "nodes", key: "edge-1", expected: Some(0), value: Some(b"x") };
-    let body = format!("{:?}", store::commit_request(&[change]).body());
+    let condition = store::Condition { table: "nodes", key: "n-2", version: 17 };
+    let body = format!("{:?}", store::commit_request(&[change], &[condition]).body());
     assert!(body.contains("Expected") && body.contains("Put"), "{body}");
+    assert!(body.replace('\\', "").contains(r#""Key":"n-2","Ver":17"#), "{body}");
     let rows = json!({"Rows": [{"Table": "op", "part": "", "Key": "k", "Value": "eA==", "Ver": 3},
         {"Table": "op", "part": "", "Key": "gone", "Removed": true}], "Ver": 9, "NowMs": 1});
     let rows = store::decode_rows(StatusCode::OK, rows.to_string().as_bytes()).unwrap();
--- a/tests/endpoint_holders.rs
+++ b/tests/endpoint_holders.rs
@@ -21,13 +21,19 @@
 }
 
 fn claim(expected: u64, pause: Ms) -> HolderClaim {
-    HolderClaim { endpoint: Rc::from("i-1"), expected, pause }
+    HolderClaim { endpoint: Rc::from("i-1"), expected, pause, former_lease: None }
+}
+
+/// Claim of an endpoint that node "a" held with a lease of this version.
+fn takeover(expected: u64, lease: u64) -> HolderClaim {
+    let former_lease = Some((Rc::from("a"), lease));
+    HolderClaim { former_lease, ..claim(expected, HANDOVER_PAUSE) }
 }
 
 /// State of node "a" that holds "i-1" with the fencing token 24 and has a lease from 2 s on.
 fn holder_of_i1() -> EndpointHolders {
     let mut a = EndpointHolders::new("a", 1, HANDOVER_PAUSE, Ms(0));
-    a.on_renewed(Ms(2_000));
+    a.on_renewed(Ms(2_000), Ms(2_000));
     a.on_nodes(Ms(2_000), vec![node("a", 20), node("b", 21)]);
     let found = a.due_claims(Ms(2_000), &[Rc::from("i-1")]);
     // Whichever node rendezvous hashing prefers, "a" claims the endpoint here.
@@ -45,7 +51,7 @@
     let mut a = holder_of_i1();
     let back = Ms(2_000) + LEASE_TTL + Ms(3_000);
     assert_eq!(a.fence(back, "i-1"), None);
-    a.on_renewed(back);
+    a.on_renewed(back, back);
     assert_eq!(a.fence(back + Ms(10), "i-1"), None);
     a.on_holders(back + Ms(20), vec![holding("b", 9, 188)]);
     assert_eq!(a.fence(back + Ms(5_000), "i-1"), None);
@@ -57,7 +63,7 @@
 fn regained_lease_waits_for_claims_under_way() {
     let mut a = holder_of_i1();
     let back = Ms(2_000) + LEASE_TTL + Ms(3_000);
-    a.on_renewed(back);
+    a.on_renewed(back, back);
     a.on_holders(back, vec![holding("a", 1, 24)]);
     assert_eq!(a.fence(back + Ms(100), "i-1"), None);
     assert_eq!(a.fence(back + HANDOVER_PAUSE, "i-1"), Some(24));
@@ -67,7 +73,7 @@
 #[test]
 fn fence_is_the_version_of_the_row() {
     let mut a = EndpointHolders::new("a", 1, HANDOVER_PAUSE, Ms(0));
-    a.on_renewed(Ms(0));
+    a.on_renewed(Ms(0), Ms(0));
     a.on_claimed(&claim(0, Ms(0)));
     assert_eq!(a.fence(Ms(10), "i-1"), None);
     a.on_holders(Ms(20), vec![holding("a", 1, 188)]);
@@ -83,11 +89,11 @@
     b.on_nodes(Ms(1_000), rows());
     let lapsed = Ms(1_000) + LEASE_TTL + CLOCK_MARGIN;
     for at in [Ms(2_000), lapsed - Ms(1), lapsed] {
-        b.on_renewed(at);
+        b.on_renewed(at, at);
         b.on_nodes(at, vec![node("a", 20), node("b", 21 + at.0)]);
         b.on_holders(at, vec![holding("a", 1, 24)]);
         let claims = b.due_claims(at, &[Rc::from("i-1")]);
-        let expected = if at < lapsed { Vec::new() } else { vec![claim(24, HANDOVER_PAUSE)] };
+        let expected = if at < lapsed { Vec::new() } else { vec![takeover(24, 20)] };
         assert_eq!(claims, expected, "{at}");
     }
     b.on_claimed(&claim(24, HANDOVER_PAUSE));
@@ -100,7 +106,7 @@
 #[test]
 fn restarted_process_claims_its_endpoints_at_once() {
     let mut a = EndpointHolders::new("a", 5, HANDOVER_PAUSE, Ms(0));
-    a.on_renewed(Ms(100));
+    a.on_renewed(Ms(100), Ms(100));
     a.on_nodes(Ms(100), vec![node("a", 40), node("b", 21)]);
     a.on_holders(Ms(100), vec![holding("a", 1, 24)]);
     assert_eq!(a.fence(Ms(100), "i-1"), None);
@@ -112,7 +118,7 @@
 #[test]
 fn starting_node_delays_claims_of_endpoints_that_it_did_not_hold() {
     let mut a = EndpointHolders::new("a", 5, HANDOVER_PAUSE, Ms(0));
-    a.on_renewed(Ms(100));
+    a.on_renewed(Ms(100), Ms(100));
     a.on_nodes(Ms(100), vec![node("a", 40)]);
     a.on_holders(Ms(100), Vec::new());
     assert_eq!(a.due_claims(FIRST_CLAIM_DELAY - Ms(1), &[Rc::from("i-1")]), Vec::new());
@@ -123,10 +129,10 @@
 #[test]
 fn released_endpoints_are_claimed_with_a_pause() {
     let mut b = EndpointHolders::new("b", 2, HANDOVER_PAUSE, Ms(0));
-    b.on_renewed(Ms(1_600));
+    b.on_renewed(Ms(1_600), Ms(1_600));
     b.on_nodes(Ms(1_600), vec![node("b", 21)]);
     b.on_holders(Ms(1_600), vec![holding("a", 1, 24)]);
-    assert_eq!(b.due_claims(Ms(1_600), &[Rc::from("i-1")]), vec![claim(24, HANDOVER_PAUSE)]);
+    assert_eq!(b.due_claims(Ms(1_600), &[Rc::from("i-1")]), vec![takeover(24, 0)]);
 }
 
 // Nodes behind a network partition count for the team limits long after their leases have
@@ -147,7 +153,7 @@
     let mut a = holder_of_i1();
     a.release();
     assert_eq!(a.fence(Ms(2_100), "i-1"), None);
-    a.on_renewed(Ms(2_100));
+    a.on_renewed(Ms(2_100), Ms(2_100));
     a.on_holders(Ms(2_200), vec![holding("a", 1, 24)]);
     assert_eq!(a.fence(Ms(9_000), "i-1"), None);
 }
@@ -159,6 +165,36 @@
     let new = [Rc::from("i-2")];
     a.on_nodes(Ms(2_100), vec![node("a", 20)]);
     let claims = a.due_claims(Ms(2_100), &new);
-    let expected = HolderClaim { endpoint: Rc::from("i-2"), expected: 0, pause: Ms(0) };
+    let expected = HolderClaim { endpoint: Rc::from("i-2"), ..claim(0, Ms(0)) };
     assert_eq!(claims, vec![expected]);
 }
+
+// A renewal may be acknowledged after the lease has lapsed, when another node may have claimed
+// the endpoint already.
+#[test]
+fn renewal_acknowledged_after_the_lapse_allows_no_orders_before_the_holders_are_read() {
+    let mut a = holder_of_i1();
+    let end = Ms(2_000) + LEASE_TTL;
+    a.on_renewed(end - Ms(100), end + Ms(1_000));
+    assert_eq!(a.fence(end + Ms(1_000), "i-1"), None);
+    a.on_holders(end + Ms(1_010), vec![holding("b", 9, 188)]);
+    assert_eq!(a.fence(end + Ms(8_000), "i-1"), None);
+}
+
+// A claim takes effect only if the former holder's lease is still the one that has lapsed: the
+// claimant may be paused between its decision and its write, and the holder may be back.
+#[test]
+fn claim_requires_the_lapsed_lease_to_be_unchanged() {
+    let mut b = EndpointHolders::new("b", 2, HANDOVER_PAUSE, Ms(0));
+    b.on_nodes(Ms(1_000), vec![node("a", 20), node("b", 21)]);
+    let lapsed = Ms(1_000) + LEASE_TTL + CLOCK_MARGIN;
+    b.on_renewed(lapsed, lapsed);
+    b.on_nodes(lapsed, vec![node("a", 20), node("b", 22)]);
+    b.on_holders(lapsed, vec![holding("a", 1, 24)]);
+    let lease = b.due_claims(lapsed, &[Rc::from("i-1")]).remove(0).former_lease;
+    assert_eq!(lease, Some((Rc::from("a"), 20)));
+    // A node without a row has released its lease; a new row is a new lease.
+    b.on_nodes(lapsed, vec![node("b", 22)]);
+    let lease = b.due_claims(lapsed, &[Rc::from("i-1")]).remove(0).former_lease;
+    assert_eq!(lease, Some((Rc::from("a"), 0)));
+}
