Let a newer entry of an endpoint override older news of its departure

Seen by operators of similar systems: after a restart, a server that had left was in use again. The reverse could happen here too: - A node that starts while the store is away reads its endpoints from a peer. The peer served the entries of endpoints that it knew to have left by other means. - Nodes tell each other which endpoints have left, without saying of which entry. An entry that lapsed in an outage and is back was taken for gone again at the next heartbeat of a node that had not read it yet; the mark then went from node to node for good, although the endpoint was sound. Class: a belief without the version of what it is about.

Change: a departure has the version of the rows that shows it, or of the entry that it refers to. An older entry does not bring the endpoint back, a newer one does. State for peers leaves out endpoints that have left.

older_news_of_a_leave_does_not_retire_an_endpoint (503 no_endpoint) and state_for_peers_leaves_out_endpoints_that_have_left failed before.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::crash_watch::{self, CrashWatch};
+use crate::departures::Departures;
 use crate::deployment::Deployment;
 use crate::endpoint_holders::EndpointHolders;
 use crate::endpoint_table::EndpointTable;
@@ -81,6 +82,14 @@
     pub(crate) config_version: u64,
 }
 
+/// An endpoint's entry as it wrote it.
+#[derive(Clone, Debug)]
+pub(crate) struct EncodedEntry {
+    pub(crate) value: Vec<u8>,
+    /// Version of its row.
+    pub(crate) version: u64,
+}
+
 /// Requests in flight by adapter.
 pub(crate) type AdapterUses = Map<Rc<str>, u32>;
 
@@ -94,7 +103,7 @@
     /// Newest version of each adapter, with the instant at which this node read it.
     pub(crate) versions: RefCell<Map<Rc<str>, (u64, Ms)>>,
     /// Encoded entries of the endpoints, served to peers.
-    pub(crate) entries: RefCell<Map<Rc<str>, Vec<u8>>>,
+    pub(crate) entries: RefCell<Map<Rc<str>, EncodedEntry>>,
     pub(crate) table: RefCell<EndpointTable>,
     pub(crate) team_limits: RefCell<TeamLimits>,
     pub(crate) resends: RefCell<ResendBudget>,
@@ -104,8 +113,8 @@
     /// Requests in flight by endpoint and adapter. An adapter whose requests ended since
     /// the last beat stays with a count of zero, so that the next beat still names it.
     pub(crate) adapter_uses: RefCell<Map<Rc<str>, AdapterUses>>,
-    /// Endpoints that are leaving or gone, with the instant at which this was learned.
-    pub(crate) leaving: RefCell<Map<Rc<str>, Ms>>,
+    /// Endpoints that are leaving or gone.
+    pub(crate) departures: RefCell<Departures>,
     /// Wakes requests that wait for an adapter when the set of loaded adapters changes.
     pub(crate) adapter_changes: Notify,
     /// Wakes the membership task when an endpoint is new or has restarted.
@@ -155,7 +164,7 @@
             held: RefCell::default(),
             peers: RefCell::default(),
             adapter_uses: RefCell::default(),
-            leaving: RefCell::default(),
+            departures: RefCell::default(),
             adapter_changes: Notify::new(),
             endpoint_added: Notify::new(),
             data_client: HttpClient::new(client_settings),
@@ -207,16 +216,27 @@
         self.versions.borrow().get(adapter).map(|(v, _)| *v)
     }
 
-    /// Marks an endpoint as leaving because of `why`, which is not its entry.
-    pub(crate) fn mark_leaving(&self, id: &Rc<str>, why: &str) {
-        let now = BootClock.now();
-        if self.leaving.borrow_mut().insert(id.clone(), now).is_none() {
-            decision!("endpoint_leaving", "endpoint": &**id, "evidence": why);
+    /// Marks an endpoint as leaving because of `why`, which is not its entry, unless its entry
+    /// is newer than this news of the given version.
+    pub(crate) fn mark_leaving(&self, id: &Rc<str>, why: &str, version: u64) {
+        let mut table = self.table.borrow_mut();
+        let state = table.get_mut(id);
+        if state.as_ref().is_some_and(|e| e.row_version > version) {
+            return;
         }
-        if let Some(e) = self.table.borrow_mut().get_mut(id) {
+        if self.departures.borrow_mut().record(BootClock.now(), id, version) {
+            decision!("endpoint_leaving", "endpoint": &**id, "evidence": why, "version": version);
+        }
+        if let Some(e) = state {
             e.gone = true;
         }
     }
+
+    /// Marks an endpoint as leaving because another instance answered in its place.
+    pub(crate) fn mark_replaced(&self, id: &Rc<str>, why: &str) {
+        let version = self.table.borrow().get(id).map_or(0, |e| e.row_version);
+        self.mark_leaving(id, why, version);
+    }
 }
 
 async fn housekeeping(edge: Rc<Edge>) {
@@ -225,7 +245,7 @@
         let now = BootClock.now();
         edge.data_client.close_expired();
         edge.control_client.close_expired();
-        edge.leaving.borrow_mut().retain(|_, at| now.since(*at) < Ms::secs(60));
+        edge.departures.borrow_mut().expire(now);
         log::logger().flush();
     }
 }
--- a/src/endpoint_table.rs
+++ b/src/endpoint_table.rs
@@ -100,6 +100,8 @@
 pub struct EndpointState {
     /// The endpoint's own entry.
     pub entry: EndpointEntry,
+    /// Version of the entry's row.
+    pub row_version: u64,
     /// Node that gives the endpoint its orders.
     pub holder: Option<Rc<str>>,
     /// Loaded adapters with their versions.
@@ -136,6 +138,7 @@
         let held = entry.adapters.iter().map(|h| (h.adapter.clone(), h.version)).collect();
         Self {
             entry,
+            row_version: 0,
             holder: None,
             loaded: held,
             local_waiters: Map::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 mod crash_watch;
 pub mod demo;
 pub mod denial;
+pub mod departures;
 pub mod deployment;
 pub mod dynamo;
 pub mod edge;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -12,7 +12,7 @@
 use prost::Message;
 use tokio::time::sleep;
 
-use crate::edge::{Edge, Peer};
+use crate::edge::{Edge, EncodedEntry, Peer};
 use crate::endpoint_table::RequestLoad;
 use crate::generated::mesh as wire;
 use crate::ids::{Map, stable_hash};
@@ -117,31 +117,38 @@
         tokens: s.tokens,
         asked: s.demand_rate,
     });
-    let leaving = edge.leaving.borrow();
-    let leaving = leaving.iter().filter(|(_, at)| now.since(**at) < LEAVING_LISTED_FOR);
+    let departures = edge.departures.borrow();
+    let leaving = departures.recent(now, LEAVING_LISTED_FOR);
+    let (leaving, leaving_versions) =
+        leaving.map(|(id, version)| (id.to_string(), version)).unzip();
     wire::Beat {
         config: edge.routing.borrow().version,
         owned: held_endpoints(edge),
         loads: request_loads(edge),
         spent: spent.collect(),
         uses: Vec::new(),
-        leaving: leaving.map(|(id, _)| id.to_string()).collect(),
+        leaving,
         draining: *edge.stopping.borrow(),
+        leaving_versions,
     }
 }
 
 /// Path at which peers read the state that this node has from the store.
 pub(crate) const STATE_PATH: &str = "/state";
 
-/// Encodes the configuration document and the endpoints' entries for a peer.
+/// Encodes the configuration document and the entries of endpoints that have not left, for a
+/// peer.
 pub(crate) fn encode_state(edge: &Edge) -> Vec<u8> {
-    let entries = edge.entries.borrow();
-    let entry = |(id, value): (&Rc<str>, &Vec<u8>)| wire::Entry {
+    let (entries, departures) = (edge.entries.borrow(), edge.departures.borrow());
+    let stays = |(id, _): &(&Rc<str>, &EncodedEntry)| !departures.contains(id);
+    let entry = |(id, e): (&Rc<str>, &EncodedEntry)| wire::Entry {
         endpoint: id.to_string(),
-        value: value.clone(),
+        value: e.value.clone(),
+        version: e.version,
     };
     let document = edge.document.borrow().clone();
-    wire::State { document, entries: entries.iter().map(entry).collect() }.encode_to_vec()
+    let entries = entries.iter().filter(stays).map(entry).collect();
+    wire::State { document, entries }.encode_to_vec()
 }
 
 /// Nodes to send beats to: those on the store's list, those heard recently and, until a list
@@ -336,11 +343,8 @@
             }
         }
     }
-    for id in &beat.leaving {
-        let known = edge.leaving.borrow().contains_key(id.as_str());
-        if !known {
-            edge.mark_leaving(&Rc::from(id.as_str()), name);
-        }
+    for (id, version) in beat.leaving.iter().zip(&beat.leaving_versions) {
+        edge.mark_leaving(&Rc::from(id.as_str()), name, *version);
     }
 }
 
--- a/src/order_executor.rs
+++ b/src/order_executor.rs
@@ -167,7 +167,7 @@
         Ok(answer) => {
             let response = order::decode_status(answer.status);
             if response == OrderResponse::Misdirected {
-                edge.mark_leaving(&Rc::from(id), "another instance answers orders");
+                edge.mark_replaced(&Rc::from(id), "another instance answers orders");
             }
             if let Some(k) = edge.held.borrow_mut().get_mut(id) {
                 k.record_order_time(BootClock.now().since(begun));
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -244,7 +244,7 @@
         return SendFailure::NotRun("endpoint_full");
     }
     if reply.instance.as_deref().is_some_and(|i| i != &*choice.id) {
-        edge.mark_leaving(&choice.id, "another instance answers at its address");
+        edge.mark_replaced(&choice.id, "another instance answers at its address");
         return SendFailure::NotRun("instance_gone");
     }
     // This node's view of the loaded adapters was out of date.
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -18,14 +18,15 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::edge::Edge;
+use crate::edge::{Edge, EncodedEntry};
 use crate::endpoint_holders::{HolderClaim, HolderRecord, NodeRecord, RENEW_INTERVAL};
+use crate::endpoint_table::EndpointEntry;
 use crate::error::{Error, Result};
 use crate::generated::mesh as wire;
 use crate::ids::{Map, Set};
 use crate::log_sink::decision;
 use crate::mesh;
-use crate::platform::store::{Change, Condition, Outcome, Row};
+use crate::platform::store::{Change, Condition, Outcome, Row, Rows};
 use crate::platform::{document, entry};
 use crate::store_calls::{CALL_TIMEOUT, Dependency, commit, log_unreadable, read_all, read_feed};
 use crate::time::{BootClock, Clock, Ms};
@@ -72,7 +73,7 @@
 /// (`false`), then waits for `pause`.
 async fn follow_table<F, Fut>(edge: &Edge, table: &'static str, pause: Duration, adopt: F)
 where
-    F: Fn(Vec<Row>, bool) -> Fut,
+    F: Fn(Rows, bool) -> Fut,
     Fut: Future<Output = ()>,
 {
     let dependency = Dependency::new(table);
@@ -87,7 +88,7 @@
             Ok(Outcome::Done(rows)) => {
                 dependency.on_success();
                 after = Some(rows.version);
-                adopt(rows.rows, complete).await;
+                adopt(rows, complete).await;
                 sleep(pause).await;
             }
             Ok(Outcome::Refused) => {
@@ -105,7 +106,7 @@
 /// Follows the operators' documents and the adapter versions.
 pub(crate) async fn follow_documents(edge: Rc<Edge>) {
     follow_table(&edge, document::TABLE, Duration::ZERO, |rows, _| {
-        for row in rows {
+        for row in rows.rows {
             on_document(&edge, row);
         }
         std::future::ready(())
@@ -217,7 +218,7 @@
     }
     for e in state.entries {
         match entry::decode(&e.endpoint, &e.value) {
-            Ok(entry) => on_entry(edge, entry),
+            Ok(entry) => on_entry(edge, entry, e.version),
             Err(e) => log::warn!("peer {name} sent an invalid endpoint entry: {e}"),
         }
     }
@@ -233,6 +234,7 @@
     let unreadable_keys: RefCell<Set<String>> = RefCell::default();
     let pause = edge.deployment.bounds.drain.to_std() / ENTRY_READS_PER_DRAIN;
     follow_table(&edge, entry::TABLE, pause, |rows, complete| {
+        let Rows { rows, version, .. } = rows;
         let now = BootClock.now();
         let mut lapsed = lapsed.borrow_mut();
         let mut present: Set<Rc<str>> = Set::default();
@@ -244,9 +246,10 @@
             match entry::decode(&row.key, &row.value) {
                 Ok(entry) => {
                     lapsed.remove(&entry.id);
-                    edge.entries.borrow_mut().insert(entry.id.clone(), row.value);
+                    let encoded = EncodedEntry { value: row.value, version: row.version };
+                    edge.entries.borrow_mut().insert(entry.id.clone(), encoded);
                     present.insert(entry.id.clone());
-                    on_entry(&edge, entry);
+                    on_entry(&edge, entry, row.version);
                 }
                 Err(e) => {
                     if unreadable_keys.borrow_mut().insert(row.key.clone()) {
@@ -271,7 +274,7 @@
             edge.entries.borrow_mut().remove(id);
             if edge.table.borrow_mut().remove(id).is_some() {
                 decision!("endpoint_gone", "endpoint": &**id, "waited_ms": now.since(*at).0);
-                edge.leaving.borrow_mut().insert(id.clone(), now);
+                edge.departures.borrow_mut().record(now, id, version);
             }
             false
         });
@@ -281,7 +284,8 @@
     .await;
 }
 
-fn on_entry(edge: &Edge, entry: crate::endpoint_table::EndpointEntry) {
+/// Takes over an endpoint's entry from its row of the given version.
+fn on_entry(edge: &Edge, entry: EndpointEntry, version: u64) {
     let mut table = edge.table.borrow_mut();
     let id = entry.id.clone();
     let old = table.get(&id).map(|e| (e.entry.leaving, e.entry.started_at));
@@ -289,9 +293,11 @@
         decision!("endpoint", "endpoint": &*id, "service": &*entry.service,
             "address": entry.address.to_string(), "leaving": entry.leaving, "born": entry.started_at);
     }
+    let mut departures = edge.departures.borrow_mut();
     if entry.leaving {
-        edge.leaving.borrow_mut().entry(id.clone()).or_insert(BootClock.now());
+        departures.record(BootClock.now(), &id, version);
     }
+    let gone = departures.overrides(&id, version);
     if old.is_none_or(|(_, start)| start != entry.started_at) {
         edge.endpoint_added.notify_one();
     }
@@ -300,12 +306,11 @@
     {
         k.planner.on_restart();
     }
-    let known_leaving = edge.leaving.borrow().contains_key(&id) && !entry.leaving && old.is_none();
-    if known_leaving {
-        // The entry is back after it lapsed during a store outage.
-        edge.leaving.borrow_mut().remove(&id);
-    }
     table.update(entry);
+    if let Some(e) = table.get_mut(&id) {
+        e.row_version = version;
+        e.gone = gone;
+    }
 }
 
 async fn renew_lease(edge: &Edge) -> Result<bool> {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -3,14 +3,16 @@
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
+use prost::Message;
 use serde_json::json;
 use standin::caller::{CallerRequest, HOST, KEY, exchange, read_answer, wait_until};
 use standin::endpoint_instance::EndpointFault;
 use standin::node::{Node, NodeAddresses, program_path, settings};
 use standin::row_store;
 use standin::test_setup::{TestSetup, document};
+use sycamorefork::generated::mesh;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::sleep;
 
 #[tokio::test]
@@ -422,3 +424,54 @@
         .await;
     }
 }
+
+/// Sends a node a heartbeat of a peer that says which endpoints have left, and the versions of
+/// the rows that show it.
+async fn send_leaves(node: &Node, endpoints: &[&str], version: u64) {
+    let beat = mesh::Beat {
+        leaving: endpoints.iter().map(ToString::to_string).collect(),
+        leaving_versions: vec![version; endpoints.len()],
+        ..mesh::Beat::default()
+    };
+    let datagram = mesh::Datagram {
+        node: "peer".to_owned(),
+        start: 1,
+        beat: Some(beat),
+        ..mesh::Datagram::default()
+    };
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.send_to(&datagram.encode_to_vec(), node.addresses.internal).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+}
+
+// A peer that has not read yet that an entry is back still says that the endpoint has left.
+#[tokio::test]
+async fn older_news_of_a_leave_does_not_retire_an_endpoint() {
+    let world = TestSetup::start().await;
+    let node = Node::start("edge-old-leave", world.store_address()).await;
+    let look = async |attempt| {
+        let answer = CallerRequest::new("GET /look/1", attempt).send(&node).await;
+        (answer.status, answer.body)
+    };
+    // The entries are rows 2 and 3 of the store.
+    send_leaves(&node, &["i-1", "i-2"], 1).await;
+    assert_eq!(look("m1").await.0, 200);
+    send_leaves(&node, &["i-1", "i-2"], 8).await;
+    assert_eq!(look("m2").await, (503, "no_endpoint".to_owned()));
+    for n in 0..8 {
+        world.rows.put("other", "row", &json!(n));
+    }
+    world.rows.put("servers", "i-1", &world.ledger[0].entry("ready"));
+    wait_until("a newer entry is used", || async { look("m3").await.0 == 200 }).await;
+}
+
+// A node that starts while the store is away gets its endpoints from a peer.
+#[tokio::test]
+async fn state_for_peers_leaves_out_endpoints_that_have_left() {
+    let world = TestSetup::start().await;
+    let node = Node::start("edge-state", world.store_address()).await;
+    send_leaves(&node, &["i-1"], 8).await;
+    let page = exchange(node.addresses.internal, b"GET /state HTTP/1.1\r\nHost: p\r\n\r\n").await;
+    let text = page.unwrap().body;
+    assert!(!text.contains("i-1") && text.contains("i-2"), "{text}");
+}
