Soak: planned stops to their end, reloads, crashes of engines, more endpoint faults, any number of nodes

Nodes that are told to stop now run until they exit by themselves, while callers go on using their connections; signals to one node may overlap, as a pause during a stop. New faults: SIGHUP, a named version, crashes of one or all engines, requests with a prompt part that crashes engines, late copies, refusals without an id, heads and bodies without end.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -12,8 +12,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::plan::NODES;
-
 /// Key of the team `meter`, which sends more than its rate.
 pub const METER_KEY: &str = "key-meter";
 /// Tokens of a request of the team `meter`.
@@ -22,12 +20,14 @@
 const METER_PAUSE: Duration = Duration::from_millis(40);
 /// Number of tasks that send for the team `meter`; together they send four times its rate.
 pub const METER_TASKS: usize = 3;
-/// Number of tasks that send for the team `studio`.
+/// Number that distinguishes the first task of the team `meter` from those of `studio`.
+const METER_NUMBER: usize = 0x80;
+/// Number of tasks that send for the team `studio`, at least.
 pub const STUDIO_TASKS: usize = 9;
 /// Upper bound of the random pause between two requests of the team `studio`, in ms.
 const MAX_PAUSE_MS: u64 = 60;
 /// Time after which a caller gives up; longer than the deadline that it sends.
-const CALLER_TIMEOUT: Duration = Duration::from_millis(4_500);
+pub const CALLER_TIMEOUT: Duration = Duration::from_millis(4_500);
 
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,8 +38,17 @@
     Write,
     /// A stream of an adapter.
     Stream,
+    /// A stream whose prompt crashes the engine that runs it.
+    Fatal,
 }
 
+/// Part of a prompt that crashes engines.
+pub const FATAL_PART: &str = "dead";
+/// Fraction of the streams that crash engines while callers send such.
+const FATAL_SHARE: f64 = 0.3;
+/// Number of prompt parts that streams share.
+const SHARED_PARTS: u64 = 5;
+
 /// A request and its result as its caller observed it.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -68,7 +77,9 @@
     /// Addresses of the nodes.
     pub nodes: Vec<NodeAddresses>,
     /// Number of process starts of each node.
-    pub starts: [AtomicU64; NODES],
+    pub starts: Vec<AtomicU64>,
+    /// Whether callers send requests that crash engines.
+    pub poison: AtomicBool,
     /// Version of the newest configuration.
     pub version: AtomicU64,
     /// Whether callers have to stop.
@@ -85,7 +96,7 @@
 struct Caller {
     shared: Arc<Shared>,
     rng: StdRng,
-    connections: [Option<TcpStream>; NODES],
+    connections: Vec<Option<TcpStream>>,
 }
 
 impl Caller {
@@ -129,7 +140,8 @@
 
 fn new_caller(shared: &Arc<Shared>, seed: u64, n: usize) -> Caller {
     let rng = StdRng::seed_from_u64(seed ^ (n as u64 + 1) << 32);
-    Caller { shared: shared.clone(), rng, connections: [const { None }; NODES] }
+    let connections = shared.nodes.iter().map(|_| None).collect();
+    Caller { shared: shared.clone(), rng, connections }
 }
 
 /// Sends requests for the team `studio` until the run is done.
@@ -140,10 +152,12 @@
             return;
         }
         let attempt = format!("{n:02x}{i:06x}");
-        let node = caller.rng.random_range(0..NODES);
+        let node = caller.rng.random_range(0..shared.nodes.len());
+        let fatal = caller.rng.random_bool(FATAL_SHARE) && shared.poison.load(Ordering::Relaxed);
         let (kind, line) = match caller.rng.random_range(0..4) {
             0 => (Kind::Read, "GET /look/1"),
             1 | 2 => (Kind::Write, "POST /enter/1"),
+            _ if fatal => (Kind::Fatal, "POST /ask/1"),
             _ => (Kind::Stream, "POST /ask/1"),
         };
         // A quarter of the requests carries the own key of the newest or of a recent
@@ -155,8 +169,14 @@
         let model = format!("base/a{}", caller.rng.random_range(0..6));
         let mut request = CallerRequest::new(line, &attempt);
         request.headers = format!("Authorization: Token {token}\r\n");
-        if kind == Kind::Stream {
-            request = request.with_header("X-Model", &model).with_header("X-Token-Count", "10,5");
+        let shared_part = caller.rng.random_range(0..SHARED_PARTS);
+        let fatal_part = if kind == Kind::Fatal { FATAL_PART } else { "50" };
+        let parts = format!("a1:4,b{shared_part}:3,{fatal_part}:1,{attempt}:2");
+        if matches!(kind, Kind::Stream | Kind::Fatal) {
+            request = request
+                .with_header("X-Model", &model)
+                .with_header("X-Token-Count", "10,5")
+                .with_header("X-Prompt-Prefix", &parts);
         }
         caller.send(attempt.clone(), node, kind, key, request).await;
         let pause = caller.rng.random_range(0..MAX_PAUSE_MS);
@@ -166,16 +186,16 @@
 
 /// Sends requests for the team `meter` until the run is done.
 pub async fn run_meter(shared: Arc<Shared>, seed: u64, n: usize) {
-    let mut caller = new_caller(&shared, seed, STUDIO_TASKS + n);
+    let mut caller = new_caller(&shared, seed, METER_NUMBER + n);
     for i in 0.. {
         if shared.done.load(Ordering::Relaxed) {
             return;
         }
-        let attempt = format!("{:02x}{i:06x}", 0x80 + n);
+        let attempt = format!("{:02x}{i:06x}", METER_NUMBER + n);
         let mut request = CallerRequest::new("GET /look/1", &attempt);
         request.headers = format!("Authorization: Token {METER_KEY}\r\n");
         let request = request.with_header("X-Token-Count", "800,200");
-        caller.send(attempt.clone(), i % NODES, Kind::Read, None, request).await;
+        caller.send(attempt.clone(), i % shared.nodes.len(), Kind::Read, None, request).await;
         sleep(METER_PAUSE).await;
     }
 }
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -7,7 +7,7 @@
 use standin::caller::Answer;
 use standin::endpoint_instance::Run;
 
-use crate::callers::{Kind, METER_TOKENS, Sent};
+use crate::callers::{CALLER_TIMEOUT, FATAL_PART, Kind, METER_TOKENS, Sent};
 
 /// Rate limit of the team `meter`, in tokens per second.
 pub const METER_RATE: u64 = 20_000;
@@ -27,8 +27,12 @@
 const STABLE_AFTER: Duration = Duration::from_millis(3_000);
 /// Added to [`APPLY_LIMIT`] for requests already in flight.
 const IN_FLIGHT_MARGIN: Duration = Duration::from_millis(500);
+/// Crashes by one prompt part after which nodes must know it.
+const CRASHES_UNTIL_KNOWN: usize = 5;
+/// Requests with that part that may still run afterwards.
+const MAX_LATE_RUNS: usize = 3;
 /// Number of events in a stream.
-const EVENTS_PER_STREAM: usize = 3;
+pub const EVENTS_PER_STREAM: u64 = 3;
 /// Statuses that state that a request did not run.
 const NOT_RUN_STATUSES: [u16; 5] = [401, 404, 413, 429, 503];
 
@@ -50,6 +54,24 @@
     pub at: Instant,
 }
 
+/// A time in which something happened to a node.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeTime {
+    /// Index of the node.
+    pub node: usize,
+    /// Start.
+    pub from: Instant,
+    /// End.
+    pub until: Instant,
+}
+
+impl NodeTime {
+    /// Whether the time overlaps one of `node` from `from` to `until`.
+    fn overlaps(&self, node: usize, from: Instant, until: Instant) -> bool {
+        self.node == node && self.from <= until && self.until >= from
+    }
+}
+
 /// Everything observed during a run from outside the nodes.
 #[derive(Default)]
 pub struct History {
@@ -65,6 +87,16 @@
     pub configs: Vec<Config>,
     /// Intervals in which faults may have delayed what nodes learn from the store.
     pub hidden: Vec<(Instant, Instant)>,
+    /// Intervals in which faults may have broken answers of endpoints.
+    pub broken: Vec<(Instant, Instant)>,
+    /// Planned stops, from SIGTERM to the exit of the process.
+    pub stops: Vec<NodeTime>,
+    /// Times in which a node was killed, paused or down without a plan.
+    pub disturbed: Vec<NodeTime>,
+    /// Exits of processes that were not told to stop.
+    pub exits: Vec<String>,
+    /// Crashes of engines by the prompt part that crashes them.
+    pub fatal_crashes: Vec<Instant>,
 }
 
 impl History {
@@ -76,6 +108,16 @@
         from < since && !self.hidden.iter().any(covers)
     }
 
+    /// Whether a fault disturbed a node from [`STABLE_AFTER`] before `from` to `until`.
+    fn is_disturbed(&self, node: usize, from: Instant, until: Instant) -> bool {
+        self.disturbed.iter().any(|d| d.overlaps(node, from - STABLE_AFTER, until))
+    }
+
+    /// Whether a fault may have broken an answer from `from` to `until`.
+    fn may_be_broken(&self, from: Instant, until: Instant) -> bool {
+        self.broken.iter().any(|(a, b)| *a <= until && *b + STABLE_AFTER >= from)
+    }
+
     /// Returns the counts of requests, runs, orders and statuses.
     pub fn summary(&self) -> String {
         let status = |s: &Sent| s.answer.as_ref().map_or(0, |a| a.status);
@@ -85,7 +127,11 @@
         }
         let orders: usize = self.orders.iter().map(|(_, o)| o.len()).sum();
         let (sent, runs) = (self.sent.len(), self.runs.len());
-        format!("{sent} requests, {runs} runs, {orders} orders, by status {by_status:?}")
+        let crashes = self.fatal_crashes.len();
+        format!(
+            "{sent} requests, {runs} runs, {orders} orders, {crashes} engines crashed by requests, \
+             by status {by_status:?}"
+        )
     }
 
     /// Number of runs by attempt.
@@ -106,6 +152,10 @@
     check_configurations(history, &mut findings);
     check_limit(history, &mut findings);
     check_holders(history, &mut findings);
+    check_stops(history, &mut findings);
+    check_deadlines(history, &mut findings);
+    check_fatal_part(history, &mut findings);
+    findings.extend(history.exits.iter().map(|e| format!("exit: {e}")));
     findings
 }
 
@@ -116,13 +166,11 @@
     let own = matches_header("x-attempt-id", &sent.attempt)
         && matches_header("x-server-seal", &sent.attempt);
     own && match sent.kind {
-        Kind::Stream => {
-            let ids: Vec<usize> = (0..EVENTS_PER_STREAM)
-                .filter_map(|n| answer.body.find(&format!("id: {n}")))
-                .collect();
-            ids.len() == EVENTS_PER_STREAM
-                && ids.is_sorted()
-                && answer.body.matches("data: ").count() == EVENTS_PER_STREAM
+        Kind::Stream | Kind::Fatal => {
+            let count = EVENTS_PER_STREAM as usize;
+            let ids: Vec<usize> =
+                (0..count).filter_map(|n| answer.body.find(&format!("id: {n}"))).collect();
+            ids.len() == count && ids.is_sorted() && answer.body.matches("data: ").count() == count
         }
         _ => answer.body == format!("answer to {}", sent.attempt),
     }
@@ -210,6 +258,53 @@
     }
 }
 
+/// Checks that a planned stop cuts off no request that was passed on to an endpoint.
+fn check_stops(history: &History, findings: &mut Vec<String>) {
+    let runs = history.runs_by_attempt();
+    let is_whole = |s: &Sent| s.answer.as_ref().is_some_and(|a| a.whole);
+    for sent in history.sent.iter().filter(|s| !is_whole(s)) {
+        let Sent { node, started, ended, .. } = *sent;
+        let stopping = history.stops.iter().any(|s| s.overlaps(node, started, ended));
+        let ran = runs.contains_key(sent.attempt.as_str());
+        let excused =
+            history.is_disturbed(node, started, ended) || history.may_be_broken(started, ended);
+        if stopping && ran && !excused {
+            let (attempt, kind) = (&sent.attempt, sent.kind);
+            findings.push(format!("cut: {attempt} {kind:?} ran and was cut off by a stop"));
+        }
+    }
+}
+
+/// Checks that requests are answered within their deadline, with some time to spare.
+fn check_deadlines(history: &History, findings: &mut Vec<String>) {
+    for sent in history.sent.iter().filter(|s| s.answer.is_none()) {
+        let Sent { node, started, ended, .. } = *sent;
+        let late = ended - started >= CALLER_TIMEOUT;
+        if late && !history.is_disturbed(node, started, ended) {
+            let (attempt, kind) = (&sent.attempt, sent.kind);
+            findings.push(format!("late: {attempt} {kind:?} had no answer in {CALLER_TIMEOUT:?}"));
+        }
+    }
+}
+
+/// Checks that few requests with the part that crashes engines run once it must be known.
+fn check_fatal_part(history: &History, findings: &mut Vec<String>) {
+    let Some(fifth) = history.fatal_crashes.get(CRASHES_UNTIL_KNOWN - 1) else { return };
+    let known_at = *fifth + STABLE_AFTER;
+    let is_stable = |at: Instant| {
+        !history.hidden.iter().any(|(a, b)| *a <= at && *b + STABLE_AFTER >= at - STABLE_AFTER)
+    };
+    let has_part = |r: &Run| {
+        r.headers.get("x-prompt-prefix").is_some_and(|p| p.contains(&format!(",{FATAL_PART}:")))
+    };
+    let late = history.runs.iter().filter(|(_, r)| r.at > known_at && has_part(r));
+    let count = late.filter(|(_, r)| is_stable(r.at)).count();
+    if count > MAX_LATE_RUNS {
+        findings
+            .push(format!("fatal: {count} requests ran {STABLE_AFTER:?} after the fifth crash"));
+    }
+}
+
 /// Checks that each endpoint received orders of only one holder at a time.
 fn check_holders(history: &History, findings: &mut Vec<String>) {
     for (endpoint, orders) in &history.orders {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -1,7 +1,8 @@
 //! Runs nodes, stand-ins and callers while the faults of a plan are injected.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
@@ -11,16 +12,27 @@
 use standin::node::{Node, NodeAddresses};
 use standin::row_store::{self, RowStore};
 use standin::test_setup::document;
+use tokio::time::sleep;
 
-use crate::callers::{self, METER_KEY, METER_TASKS, STUDIO_TASKS, Shared, version_key};
-use crate::check::{Config, Departure, History, METER_BURST, METER_RATE};
-use crate::plan::{ENDPOINTS, Event, Fault, NODES, PLAIN};
+use crate::callers::{self, FATAL_PART, METER_KEY, METER_TASKS, STUDIO_TASKS, Shared, version_key};
+use crate::check::{
+    Config, Departure, EVENTS_PER_STREAM, History, METER_BURST, METER_RATE, NodeTime,
+};
+use crate::plan::{Event, Fault, Size};
 use crate::proxy::{Mode, Proxy};
 
 /// Version of the first configuration.
 const FIRST_VERSION: u64 = 3;
 /// Time within which callers must end once told to stop; covers answers still in flight.
 const CALLERS_END_LIMIT: Duration = Duration::from_millis(4_800);
+/// Interval at which ended processes and crashed endpoints are looked for.
+const SUPERVISION_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the exit of a node to its next start.
+const NODE_RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Pause between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// Time from the crash of an endpoint to its return as a new instance.
+const ENDPOINT_RESTART_DELAY: Duration = Duration::from_millis(800);
 
 /// The operators' document of a version, which includes a key that no other version has.
 fn configuration(version: u64) -> Value {
@@ -38,11 +50,20 @@
 }
 
 impl ProxiedEndpoint {
-    /// Starts endpoint `n`; `generation` distinguishes it from its predecessors.
-    async fn start(n: usize, generation: usize) -> Self {
-        let (service, model) = if n < PLAIN { ("ledger", None) } else { ("assist", Some("base")) };
-        let instance =
-            Instance::start(&format!("i-{n}-{generation}"), service, model).await.unwrap();
+    /// Starts endpoint `n`; `generation` distinguishes it from its predecessors. The first one
+    /// of an engine has a model.
+    async fn start(n: usize, generation: usize, size: Size) -> Self {
+        let id = format!("i-{n}-{generation}");
+        let started = match (n < size.plain, generation) {
+            (true, _) => Instance::start(&id, "ledger", None).await,
+            (false, 0) => Instance::start(&id, "assist", Some("base")).await,
+            (false, _) => Instance::start_empty(&id, "assist", true).await,
+        };
+        let instance = started.unwrap();
+        if n >= size.plain {
+            instance.set_crash_trigger(FATAL_PART);
+            instance.set_stream(EVENTS_PER_STREAM, EVENT_PAUSE);
+        }
         let proxy = Proxy::start(instance.address()).await.unwrap();
         Self { instance, proxy }
     }
@@ -54,52 +75,71 @@
     }
 }
 
+/// A node's process, if it runs.
+struct NodeSlot {
+    process: Option<Node>,
+    /// When the process is started again.
+    restart_at: Option<Instant>,
+    /// When the process was told to stop.
+    stopped_at: Option<Instant>,
+}
+
 /// All components of a run.
 struct Fleet {
+    size: Size,
     rows: RowStore,
     store_proxies: Vec<Proxy>,
-    nodes: Vec<Option<Node>>,
+    nodes: Vec<NodeSlot>,
     endpoints: Vec<ProxiedEndpoint>,
+    /// Number of instances so far.
+    generation: usize,
+    /// When crashed endpoints return.
+    returns: Vec<(usize, Instant)>,
     replaced: Vec<ProxiedEndpoint>,
-    left: Vec<Departure>,
-    configs: Vec<Config>,
     shared: Arc<Shared>,
     failpoint: Option<String>,
+    history: History,
 }
 
 impl Fleet {
-    async fn start(failpoint: Option<&str>) -> Self {
+    async fn start(size: Size, failpoint: Option<&str>) -> Self {
         let rows = RowStore::start().await.unwrap();
         rows.put("op", "config", &configuration(FIRST_VERSION));
         let configs = vec![Config { version: FIRST_VERSION, at: Instant::now() }];
         let (mut endpoints, mut store_proxies) = (Vec::new(), Vec::new());
-        for n in 0..ENDPOINTS {
-            let proxied = ProxiedEndpoint::start(n, 0).await;
+        for n in 0..size.endpoints() {
+            let proxied = ProxiedEndpoint::start(n, 0, size).await;
             rows.put("servers", &proxied.instance.id, &proxied.entry("ready"));
             endpoints.push(proxied);
         }
-        for _ in 0..NODES {
+        for _ in 0..size.nodes {
             store_proxies.push(Proxy::start(rows.server.address).await.unwrap());
         }
         let shared = Shared {
-            nodes: (0..NODES).map(|_| NodeAddresses::free()).collect(),
+            nodes: (0..size.nodes).map(|_| NodeAddresses::free()).collect(),
+            starts: (0..size.nodes).map(|_| AtomicU64::new(0)).collect(),
             version: FIRST_VERSION.into(),
             ..Shared::default()
         };
         let mut fleet = Self {
+            size,
             rows,
             store_proxies,
             nodes: Vec::new(),
             endpoints,
+            generation: 0,
+            returns: Vec::new(),
             replaced: Vec::new(),
-            left: Vec::new(),
-            configs,
             shared: Arc::new(shared),
             failpoint: failpoint.map(str::to_owned),
+            history: History { configs, ..History::default() },
         };
-        fleet.nodes = (0..NODES).map(|n| Some(fleet.start_node(n))).collect();
-        for node in fleet.nodes.iter().flatten() {
-            node.until_ready().await;
+        for n in 0..size.nodes {
+            let process = Some(fleet.start_node(n));
+            fleet.nodes.push(NodeSlot { process, restart_at: None, stopped_at: None });
+        }
+        for slot in &fleet.nodes {
+            slot.process.as_ref().unwrap().until_ready().await;
         }
         fleet
     }
@@ -111,35 +151,102 @@
     }
 
     fn signal(&self, n: usize, signal: Signal) {
-        if let Some(node) = &self.nodes[n] {
-            node.signal(signal);
+        if let Some(process) = &self.nodes[n].process {
+            process.signal(signal);
         }
     }
 
-    async fn start_fault(&mut self, fault: Fault) {
+    /// Starts nodes and endpoints again that have ended.
+    async fn supervise(&mut self) {
+        let now = Instant::now();
+        for n in 0..self.nodes.len() {
+            let slot = &mut self.nodes[n];
+            if slot.process.as_mut().is_some_and(Node::has_exited) {
+                slot.process = None;
+                slot.restart_at = Some(now + NODE_RESTART_DELAY);
+                match slot.stopped_at.take() {
+                    Some(from) => {
+                        self.history.stops.push(NodeTime { node: n, from, until: now });
+                    }
+                    None => self.history.exits.push(format!("node {n} ended by itself")),
+                }
+            }
+            if self.nodes[n].restart_at.take_if(|at| *at <= now).is_some() {
+                self.nodes[n].process = Some(self.start_node(n));
+            }
+        }
+        for n in 0..self.endpoints.len() {
+            let is_known = self.returns.iter().any(|(e, _)| *e == n);
+            if self.endpoints[n].instance.has_crashed() && !is_known {
+                self.returns.push((n, now + ENDPOINT_RESTART_DELAY));
+                let has_part = |r: &endpoint_instance::Run| {
+                    let prefix = r.headers.get("x-prompt-prefix");
+                    prefix.is_some_and(|p| p.contains(&format!(",{FATAL_PART}:")))
+                };
+                if self.endpoints[n].instance.runs().iter().any(has_part) {
+                    self.history.fatal_crashes.push(now);
+                }
+            }
+        }
+        for (n, _) in self.returns.extract_if(.., |(_, at)| *at <= now).collect::<Vec<_>>() {
+            self.rows.remove("servers", &self.endpoints[n].instance.id);
+            self.replace_endpoint(n).await;
+        }
+    }
+
+    async fn replace_endpoint(&mut self, n: usize) {
+        self.generation += 1;
+        let next = ProxiedEndpoint::start(n, self.generation, self.size).await;
+        self.rows.put("servers", &next.instance.id, &next.entry("ready"));
+        let old = std::mem::replace(&mut self.endpoints[n], next);
+        self.replaced.push(old);
+    }
+
+    /// Starts a fault that ends at `end`.
+    fn start_fault(&mut self, fault: Fault, end: Instant) {
         match fault {
-            // Dropping a node kills its process.
-            Fault::Kill { node } => self.nodes[node] = None,
-            Fault::Stop { node } => self.signal(node, Signal::TERM),
+            Fault::Kill { node } => {
+                // Dropping a node kills its process.
+                self.nodes[node] =
+                    NodeSlot { process: None, restart_at: Some(end), stopped_at: None };
+            }
+            Fault::Stop { node } => {
+                self.signal(node, Signal::TERM);
+                if self.nodes[node].process.is_some() {
+                    self.nodes[node].stopped_at.get_or_insert(Instant::now());
+                }
+            }
+            Fault::Reload { node } => self.signal(node, Signal::HUP),
             Fault::Pause { node } | Fault::Freeze { node } => self.signal(node, Signal::STOP),
             Fault::Store(fault) => self.rows.set_fault(fault),
             Fault::Endpoint { endpoint, fault } => {
-                self.endpoints[endpoint].instance.set_fault(fault)
+                self.endpoints[endpoint].instance.set_fault(fault);
             }
             Fault::Link { endpoint, mode } => self.endpoints[endpoint].proxy.set_mode(mode),
             Fault::StoreLink { node, mode } => self.store_proxies[node].set_mode(mode),
+            Fault::Crash { endpoint } => self.endpoints[endpoint].instance.crash(),
+            Fault::CrashEngines => {
+                let engines = &self.endpoints[self.size.plain..];
+                engines.iter().for_each(|e| e.instance.crash());
+            }
+            Fault::Poison => self.shared.poison.store(true, Ordering::Relaxed),
             Fault::Leave { endpoint } => {
                 let proxied = &self.endpoints[endpoint];
                 self.rows.put("servers", &proxied.instance.id, &proxied.entry("draining"));
-                self.left
-                    .push(Departure { endpoint: proxied.instance.id.clone(), at: Instant::now() });
+                let endpoint = proxied.instance.id.clone();
+                self.history.left.push(Departure { endpoint, at: Instant::now() });
             }
             Fault::Configure => {
                 let version = self.shared.version.load(Ordering::Relaxed) + 1;
                 self.rows.put("op", "config", &configuration(version));
-                self.configs.push(Config { version, at: Instant::now() });
+                self.history.configs.push(Config { version, at: Instant::now() });
                 self.shared.version.store(version, Ordering::Relaxed);
             }
+            Fault::NameVersion => {
+                let version = self.shared.version.load(Ordering::Relaxed);
+                let named = json!({"Model": "base", "Adapter": "a1", "Version": version});
+                self.rows.put("op", "version/base.a1", &named);
+            }
             Fault::Lag => {
                 let version = self.shared.version.load(Ordering::Relaxed);
                 self.rows.put("op", "config", &configuration(version - 1));
@@ -150,10 +257,6 @@
 
     async fn end_fault(&mut self, fault: Fault) {
         match fault {
-            Fault::Kill { node } | Fault::Stop { node } => {
-                self.nodes[node] = None;
-                self.nodes[node] = Some(self.start_node(node));
-            }
             Fault::Pause { node } | Fault::Freeze { node } => self.signal(node, Signal::CONT),
             Fault::Store(_) => self.rows.set_fault(row_store::RowStoreFault::None),
             Fault::Endpoint { endpoint, .. } => {
@@ -161,44 +264,82 @@
             }
             Fault::Link { endpoint, .. } => self.endpoints[endpoint].proxy.set_mode(Mode::Pass),
             Fault::StoreLink { node, .. } => self.store_proxies[node].set_mode(Mode::Pass),
-            Fault::Leave { endpoint } => {
-                let next = ProxiedEndpoint::start(endpoint, self.left.len()).await;
-                self.rows.put("servers", &next.instance.id, &next.entry("ready"));
-                let old = std::mem::replace(&mut self.endpoints[endpoint], next);
-                self.replaced.push(old);
-            }
+            Fault::Leave { endpoint } => self.replace_endpoint(endpoint).await,
+            Fault::Poison => self.shared.poison.store(false, Ordering::Relaxed),
             Fault::Lag => {
                 let version = self.shared.version.load(Ordering::Relaxed);
                 self.rows.put("op", "config", &configuration(version));
             }
-            Fault::Configure | Fault::Compact => {}
+            Fault::Kill { .. }
+            | Fault::Stop { .. }
+            | Fault::Reload { .. }
+            | Fault::Crash { .. }
+            | Fault::CrashEngines
+            | Fault::Configure
+            | Fault::NameVersion
+            | Fault::Compact => {}
         }
     }
+
+    /// Completes the history with what the endpoints recorded.
+    fn into_history(mut self, start: Instant, events: &[Event]) -> History {
+        let at = |ms: u64| start + Duration::from_millis(ms);
+        let times = |applies: fn(Fault) -> bool| {
+            let events = events.iter().filter(move |e| applies(e.fault));
+            events.map(|e| (at(e.at), at(e.end))).collect::<Vec<_>>()
+        };
+        let disturbed = events.iter().filter_map(|e| {
+            let node = e.fault.disturbed_node()?;
+            Some(NodeTime { node, from: at(e.at), until: at(e.end) })
+        });
+        let endpoints = self.endpoints.iter().chain(&self.replaced);
+        let runs_of = |p: &ProxiedEndpoint| {
+            let id = p.instance.id.clone();
+            p.instance.runs().into_iter().map(move |r| (id.clone(), r))
+        };
+        self.history.sent = std::mem::take(&mut *self.shared.sent.lock().unwrap());
+        self.history.runs = endpoints.clone().flat_map(runs_of).collect();
+        self.history.orders =
+            endpoints.map(|p| (p.instance.id.clone(), p.instance.orders())).collect();
+        self.history.hidden = times(Fault::hides_store);
+        self.history.broken = times(Fault::breaks_answers);
+        self.history.disturbed = disturbed.collect();
+        self.history
+    }
 }
 
 /// Injects the faults of a plan and returns the recorded history.
-pub async fn run(seed: u64, length_ms: u64, events: &[Event], failpoint: Option<&str>) -> History {
-    let mut fleet = Fleet::start(failpoint).await;
-    let mut tasks: Vec<_> = (0..STUDIO_TASKS)
+pub async fn run(
+    seed: u64,
+    length_ms: u64,
+    size: Size,
+    events: &[Event],
+    failpoint: Option<&str>,
+) -> History {
+    let mut fleet = Fleet::start(size, failpoint).await;
+    let mut tasks: Vec<_> = (0..STUDIO_TASKS.max(size.nodes))
         .map(|n| tokio::spawn(callers::run_studio(fleet.shared.clone(), seed, n)))
         .collect();
     tasks.extend(
         (0..METER_TASKS).map(|n| tokio::spawn(callers::run_meter(fleet.shared.clone(), seed, n))),
     );
     let start = Instant::now();
-    let begins = events.iter().map(|e| (e.at, true, e.fault));
-    let ends = events.iter().map(|e| (e.end, false, e.fault));
-    let mut steps: Vec<(u64, bool, Fault)> = begins.chain(ends).collect();
+    let begins = events.iter().map(|e| (e.at, true, *e));
+    let ends = events.iter().map(|e| (e.end, false, *e));
+    let mut steps: Vec<(u64, bool, Event)> = begins.chain(ends).collect();
     steps.sort_by_key(|s| s.0);
-    for (at, starts, fault) in steps {
-        let until = start + Duration::from_millis(at);
-        tokio::time::sleep_until(until.into()).await;
-        match starts {
-            true => fleet.start_fault(fault).await,
-            false => fleet.end_fault(fault).await,
+    let mut steps = VecDeque::from(steps);
+    while start.elapsed() < Duration::from_millis(length_ms) {
+        let elapsed_ms = start.elapsed().as_millis() as u64;
+        while let Some((_, starts, event)) = steps.pop_front_if(|s| s.0 <= elapsed_ms) {
+            match starts {
+                true => fleet.start_fault(event.fault, start + Duration::from_millis(event.end)),
+                false => fleet.end_fault(event.fault).await,
+            }
         }
+        fleet.supervise().await;
+        sleep(SUPERVISION_INTERVAL).await;
     }
-    tokio::time::sleep_until((start + Duration::from_millis(length_ms)).into()).await;
     fleet.shared.done.store(true, Ordering::Relaxed);
     // Callers end by themselves within their timeout.
     let ended = async {
@@ -207,18 +348,5 @@
         }
     };
     tokio::time::timeout(CALLERS_END_LIMIT, ended).await.expect("callers end in time");
-    let at = |ms: u64| start + Duration::from_millis(ms);
-    let hidden = events.iter().filter(|e| e.fault.hides_store());
-    let endpoints = fleet.endpoints.iter().chain(&fleet.replaced);
-    History {
-        sent: std::mem::take(&mut *fleet.shared.sent.lock().unwrap()),
-        runs: endpoints
-            .clone()
-            .flat_map(|p| p.instance.runs().into_iter().map(|r| (p.instance.id.clone(), r)))
-            .collect(),
-        orders: endpoints.map(|p| (p.instance.id.clone(), p.instance.orders())).collect(),
-        left: std::mem::take(&mut fleet.left),
-        configs: std::mem::take(&mut fleet.configs),
-        hidden: hidden.map(|e| (at(e.at), at(e.end))).collect(),
-    }
+    fleet.into_history(start, events)
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,12 +5,15 @@
 use soak::{check, fleet, plan};
 
 const USAGE: &str = "\
-soak [--seed N] [--seeds N] [--seconds N | --minutes N] [--break FAILPOINT] [--plan]
+soak [--seed N] [--seeds N] [--seconds N | --minutes N] [--nodes N] [--engines N]
+     [--break FAILPOINT] [--plan]
 
   --seed N        first seed (1)
   --seeds N       number of consecutive seeds to run (1)
   --seconds N     duration of the run of one seed (45)
   --minutes N     duration of the run of one seed; takes precedence over --seconds
+  --nodes N       number of nodes, each a process (3)
+  --engines N     number of model engines (2)
   --break NAME    failpoint of the nodes to activate, in debug builds
   --plan          print the faults of each seed without running them";
 
@@ -18,6 +21,7 @@
     seed: u64,
     seeds: u64,
     length_ms: u64,
+    size: plan::Size,
     failpoint: Option<String>,
     plan: bool,
 }
@@ -26,7 +30,13 @@
     let mut args = pico_args::Arguments::from_env();
     let minutes: Option<u64> = args.opt_value_from_str("--minutes")?;
     let seconds = args.opt_value_from_str("--seconds")?.unwrap_or(45);
+    let default = plan::Size::default();
     let options = Options {
+        size: plan::Size {
+            nodes: args.opt_value_from_str("--nodes")?.unwrap_or(default.nodes),
+            engines: args.opt_value_from_str("--engines")?.unwrap_or(default.engines),
+            ..default
+        },
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
         seeds: args.opt_value_from_str("--seeds")?.unwrap_or(1),
         length_ms: minutes.map_or(seconds, |m| m * 60) * 1_000,
@@ -58,14 +68,15 @@
     };
     let mut failed_seeds = 0;
     for seed in options.seed..options.seed + options.seeds {
-        let events = plan::plan(seed, options.length_ms);
+        let events = plan::plan(seed, options.length_ms, options.size);
         if options.plan {
             println!("seed {seed}:");
             print_plan(&events);
             continue;
         }
+        let Options { length_ms, size, .. } = options;
         let history =
-            fleet::run(seed, options.length_ms, &events, options.failpoint.as_deref()).await;
+            fleet::run(seed, length_ms, size, &events, options.failpoint.as_deref()).await;
         let findings = check::check(&history);
         println!("seed {seed}: {}; {} findings", history.summary(), findings.len());
         for line in &findings {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -7,12 +7,30 @@
 
 use crate::proxy::Mode;
 
-/// Number of nodes in a run.
-pub const NODES: usize = 3;
-/// Number of plain endpoints in a run; the endpoints after them are engines.
-pub const PLAIN: usize = 2;
-/// Number of endpoints in a run.
-pub const ENDPOINTS: usize = 4;
+/// Number of processes and endpoints in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Nodes, each a process.
+    pub nodes: usize,
+    /// Plain endpoints; the endpoints after them are engines.
+    pub plain: usize,
+    /// Model engines.
+    pub engines: usize,
+}
+
+impl Size {
+    /// Number of endpoints.
+    pub fn endpoints(self) -> usize {
+        self.plain + self.engines
+    }
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self { nodes: 3, plain: 2, engines: 2 }
+    }
+}
+
 /// Range of the time between the starts of two faults, in ms.
 const START_GAP_MS: (u64, u64) = (200, 1_100);
 /// Range of the duration of a fault, in ms.
@@ -20,6 +38,11 @@
 /// Range of the duration of a freeze, in ms. It exceeds the node's lease of ten seconds, so
 /// that other nodes take over what the node holds.
 const FREEZE_MS: (u64, u64) = (17_000, 20_000);
+/// Range of the time that a planned stop may take, in ms; the end of the nodes' grace period is
+/// at 8 s.
+const STOP_MS: (u64, u64) = (8_500, 9_000);
+/// Range of the time for which requests that crash engines are sent, in ms.
+const POISON_MS: (u64, u64) = (9_000, 12_000);
 /// Range of the number of faults in a series.
 const FAULTS_PER_SERIES: (u32, u32) = (3, 9);
 /// Time without new faults after a series and at the end of the run, in ms. It is longer than
@@ -32,8 +55,10 @@
 pub enum Fault {
     /// A node's process is killed, and started again at the end of the fault.
     Kill { node: usize },
-    /// A node's process receives SIGTERM, and is started again at the end of the fault.
+    /// A node's process receives SIGTERM, and is started again once it has exited.
     Stop { node: usize },
+    /// A node's process receives SIGHUP.
+    Reload { node: usize },
     /// A node's process is suspended.
     Pause { node: usize },
     /// A node's process is suspended for longer than its lease.
@@ -46,10 +71,18 @@
     Link { endpoint: usize, mode: Mode },
     /// Connections of a node to the store are disturbed.
     StoreLink { node: usize, mode: Mode },
+    /// An endpoint crashes and comes back as a new instance.
+    Crash { endpoint: usize },
+    /// All engines crash at the same moment.
+    CrashEngines,
+    /// Callers send requests with a prompt part that crashes engines.
+    Poison,
     /// An endpoint leaves and is replaced by another one at the end of the fault.
     Leave { endpoint: usize },
     /// The operators write a configuration that lacks the previous configuration's own key.
     Configure,
+    /// The operators name a new version of an adapter.
+    NameVersion,
     /// The operators' row holds the previous configuration until the end of the fault.
     Lag,
     /// The store drops its change history.
@@ -57,13 +90,51 @@
 }
 
 impl Fault {
-    /// Whether the fault can delay what nodes learn from the store.
+    /// Whether the fault can delay what nodes learn from the store or from each other.
     pub fn hides_store(self) -> bool {
         !matches!(
             self,
-            Self::Endpoint { .. } | Self::Link { .. } | Self::Leave { .. } | Self::Configure
+            Self::Endpoint { .. }
+                | Self::Link { .. }
+                | Self::Leave { .. }
+                | Self::Crash { .. }
+                | Self::CrashEngines
+                | Self::Poison
+                | Self::Configure
+                | Self::NameVersion
+                | Self::Reload { .. }
         )
     }
+
+    /// Whether the fault can break answers of endpoints.
+    pub fn breaks_answers(self) -> bool {
+        matches!(
+            self,
+            Self::Endpoint { .. }
+                | Self::Link { .. }
+                | Self::Crash { .. }
+                | Self::CrashEngines
+                | Self::Poison
+        )
+    }
+
+    /// The node that the fault disturbs without a plan, if any.
+    pub fn disturbed_node(self) -> Option<usize> {
+        match self {
+            Self::Kill { node } | Self::Pause { node } | Self::Freeze { node } => Some(node),
+            _ => None,
+        }
+    }
+
+    /// Range of the duration, in ms.
+    fn duration(self) -> (u64, u64) {
+        match self {
+            Self::Freeze { .. } => FREEZE_MS,
+            Self::Stop { .. } => STOP_MS,
+            Self::Poison => POISON_MS,
+            _ => DURATION_MS,
+        }
+    }
 }
 
 /// A fault with its start and end.
@@ -78,15 +149,15 @@
 }
 
 /// Draws a fault.
-fn random_fault(rng: &mut StdRng) -> Fault {
-    let node = rng.random_range(0..NODES);
-    let endpoint = rng.random_range(0..ENDPOINTS);
+fn random_fault(rng: &mut StdRng, size: Size) -> Fault {
+    let node = rng.random_range(0..size.nodes);
+    let endpoint = rng.random_range(0..size.endpoints());
     let mode = *[Mode::Delay, Mode::Reset, Mode::Silent, Mode::OneWay].choose(rng).unwrap();
-    match rng.random_range(0..15) {
+    match rng.random_range(0..22) {
         0 => Fault::Kill { node },
-        1 => Fault::Stop { node },
-        2 | 3 => Fault::Pause { node },
-        4 => {
+        1..=3 => Fault::Stop { node },
+        4 | 5 => Fault::Pause { node },
+        6 => {
             let faults = [
                 row_store::RowStoreFault::Refuses(503),
                 row_store::RowStoreFault::Refuses(429),
@@ -94,55 +165,64 @@
             ];
             Fault::Store(*faults.choose(rng).unwrap())
         }
-        5 => Fault::Store(row_store::RowStoreFault::LosesAnswers),
-        6 | 7 => {
+        7 => Fault::Store(row_store::RowStoreFault::LosesAnswers),
+        8 | 9 => {
             use endpoint_instance::EndpointFault as F;
-            let faults =
-                [F::Resets, F::Foreign, F::Cut, F::Full, F::Overloaded, F::Extra, F::Silent];
+            let faults = [
+                F::Resets,
+                F::Foreign,
+                F::Cut,
+                F::Full,
+                F::Overloaded,
+                F::Unnamed,
+                F::Extra,
+                F::LateCopy,
+                F::EndlessHead,
+                F::EndlessBody,
+                F::Silent,
+            ];
             Fault::Endpoint { endpoint, fault: *faults.choose(rng).unwrap() }
         }
-        8 => Fault::Link { endpoint, mode },
-        9 => Fault::StoreLink { node, mode },
-        10 => Fault::Leave { endpoint },
-        11 => Fault::Configure,
-        12 => Fault::Lag,
-        13 => Fault::Freeze { node },
+        10 => Fault::Link { endpoint, mode },
+        11 => Fault::StoreLink { node, mode },
+        12 => Fault::Leave { endpoint },
+        13 | 14 => Fault::Configure,
+        15 => Fault::Lag,
+        16 => Fault::Freeze { node },
+        17 => Fault::Crash { endpoint },
+        18 => Fault::CrashEngines,
+        19 => Fault::Poison,
+        20 => *[Fault::Reload { node }, Fault::NameVersion].choose(rng).unwrap(),
         _ => Fault::Compact,
     }
 }
 
-/// Whether the end of one of two overlapping faults would undo the other.
+/// Whether the end of one of two overlapping faults would undo the other. Faults of one node do
+/// not: each signal goes to whatever process the node has.
 fn conflict(a: Fault, b: Fault) -> bool {
-    let node = |f| match f {
-        Fault::Kill { node }
-        | Fault::Stop { node }
-        | Fault::Pause { node }
-        | Fault::Freeze { node } => Some(node),
-        _ => None,
-    };
     let endpoint = |f| match f {
         Fault::Endpoint { endpoint, .. }
         | Fault::Link { endpoint, .. }
+        | Fault::Crash { endpoint }
         | Fault::Leave { endpoint } => Some(endpoint),
         _ => None,
     };
     let is_config = |f| matches!(f, Fault::Configure | Fault::Lag);
-    (node(a).is_some() && node(a) == node(b))
-        || (endpoint(a).is_some() && endpoint(a) == endpoint(b))
+    (endpoint(a).is_some() && endpoint(a) == endpoint(b))
         || (matches!(a, Fault::Store(_)) && matches!(b, Fault::Store(_)))
+        || (a == Fault::Poison && b == Fault::Poison)
         || (is_config(a) && is_config(b))
 }
 
 /// Returns the faults of a run of `length_ms`, ordered by start.
-pub fn plan(seed: u64, length_ms: u64) -> Vec<Event> {
+pub fn plan(seed: u64, length_ms: u64, size: Size) -> Vec<Event> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut events: Vec<Event> = Vec::new();
     let mut at = 500;
     let mut left_in_series = rng.random_range(FAULTS_PER_SERIES.0..FAULTS_PER_SERIES.1);
     while at + QUIET_MS < length_ms {
-        let fault = random_fault(&mut rng);
-        let (least, most) =
-            if matches!(fault, Fault::Freeze { .. }) { FREEZE_MS } else { DURATION_MS };
+        let fault = random_fault(&mut rng, size);
+        let (least, most) = fault.duration();
         let end = at + rng.random_range(least..most);
         if end + QUIET_MS / 2 < length_ms
             && !events.iter().any(|e| e.end > at && conflict(e.fault, fault))
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -6,8 +6,8 @@
 
 use serde_json::json;
 use soak::callers::{Kind, Sent};
-use soak::check::{Config, Departure, History, check};
-use soak::plan::plan;
+use soak::check::{Config, Departure, History, NodeTime, check};
+use soak::plan::{Size, plan};
 use standin::caller::Answer;
 use standin::endpoint_instance::Run;
 
@@ -82,6 +82,58 @@
     assert_eq!(words(&history), ["older", "key", "older"]);
 }
 
+#[test]
+fn request_cut_by_a_stop_is_found_unless_something_else_broke_it() {
+    let now = Instant::now();
+    let time = |from, until| NodeTime { node: 0, from: now + ms(from), until: now + ms(until) };
+    let cut = sent(Kind::Write, now + ms(5_000), None);
+    // A request that crosses the close of its connection has not run.
+    let crossed = sent(Kind::Write, now + ms(5_000), None);
+    let runs = vec![run(&cut.attempt, now + ms(5_010), "studio")];
+    let mut history = History { sent: vec![cut, crossed], runs, ..History::default() };
+    assert!(words(&history).is_empty());
+    history.stops = vec![time(4_000, 7_000)];
+    assert_eq!(words(&history), ["cut"]);
+    history.disturbed = vec![time(3_000, 3_100)];
+    assert!(words(&history).is_empty());
+    history.disturbed.clear();
+    history.broken = vec![(now + ms(4_900), now + ms(5_100))];
+    assert!(words(&history).is_empty());
+}
+
+#[test]
+fn requests_without_an_answer_are_found_unless_their_node_was_disturbed() {
+    let now = Instant::now();
+    let mut late = sent(Kind::Read, now + ms(4_000), None);
+    late.ended = late.started + ms(4_500);
+    let mut history = History { sent: vec![late], ..History::default() };
+    assert_eq!(words(&history), ["late"]);
+    let (from, until) = (now + ms(6_000), now + ms(6_500));
+    history.disturbed = vec![NodeTime { node: 0, from, until }];
+    assert!(words(&history).is_empty());
+    history.disturbed[0].node = 1;
+    assert_eq!(words(&history), ["late"]);
+}
+
+#[test]
+fn requests_that_crash_engines_are_found_unless_the_nodes_were_disturbed() {
+    let now = Instant::now();
+    let fatal = |n: u64| {
+        let (endpoint, mut run) = run(&format!("f{n}"), now + ms(n), "studio");
+        run.headers.insert("x-prompt-prefix".to_owned(), "a1:4,dead:1,c:1".to_owned());
+        (endpoint, run)
+    };
+    let runs = vec![fatal(2_900), fatal(5_100), fatal(5_200), fatal(5_300), fatal(5_400)];
+    let fatal_crashes = (0..5).map(|n| now + ms(n * 500)).collect();
+    let mut history = History { runs, fatal_crashes, ..History::default() };
+    assert_eq!(words(&history), ["fatal"]);
+    history.hidden = vec![(now + ms(5_000), now + ms(5_150))];
+    assert!(words(&history).is_empty());
+    history.hidden.clear();
+    history.fatal_crashes.pop();
+    assert!(words(&history).is_empty());
+}
+
 #[test]
 fn limits_and_holders_are_checked() {
     let now = Instant::now();
@@ -98,9 +150,11 @@
 // Regression cases refer to seeds, so a change of the plan of a seed must be noticed.
 #[test]
 fn plan_follows_from_the_seed() {
-    let lines: Vec<String> =
-        plan(2, 20_000).iter().map(|e| format!("{} {} {:?}", e.at, e.end, e.fault)).collect();
+    let lines: Vec<String> = plan(2, 20_000, Size::default())
+        .iter()
+        .map(|e| format!("{} {} {:?}", e.at, e.end, e.fault))
+        .collect();
     insta::assert_snapshot!(lines.join("\n"));
-    assert_eq!(plan(2, 20_000), plan(2, 20_000));
-    assert_ne!(plan(2, 20_000), plan(3, 20_000));
+    assert_eq!(plan(2, 20_000, Size::default()), plan(2, 20_000, Size::default()));
+    assert_ne!(plan(2, 20_000, Size::default()), plan(3, 20_000, Size::default()));
 }
--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -3,12 +3,14 @@
 
 use soak::check::check;
 use soak::fleet::run;
-use soak::plan::{Event, Fault, plan};
+use soak::plan::{Event, Fault, Size, plan};
 use standin::endpoint_instance;
 
 /// Returns the findings of a run with an active failpoint.
 async fn findings(length_ms: u64, events: &[Event], failpoint: &str) -> Vec<String> {
-    check(&run(1, length_ms, events, Some(failpoint)).await)
+    let history = run(1, length_ms, Size::default(), events, Some(failpoint)).await;
+    println!("{}", history.summary());
+    check(&history)
 }
 
 fn found(lines: &[String], word: &str) -> bool {
@@ -25,7 +27,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_findings_under_the_faults_of_a_seed() {
     let length_ms = 24_000;
-    let history = run(2, length_ms, &plan(2, length_ms), None).await;
+    let size = Size::default();
+    let history = run(2, length_ms, size, &plan(2, length_ms, size), None).await;
     let lines = check(&history);
     assert!(lines.is_empty(), "{lines:#?}");
     let served = history.sent.iter().filter(|s| s.answer.as_ref().is_some_and(|a| a.status == 200));
@@ -57,3 +60,21 @@
     let lines = findings(9_000, &events, "GrantLeaving").await;
     assert!(found(&lines, "leave"), "{lines:#?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_crash_engines_without_end_are_found() {
+    let events = [Event { at: 500, end: 14_000, fault: Fault::Poison }];
+    let lines = findings(16_000, &events, "SkipQuarantine").await;
+    assert!(found(&lines, "fatal"), "{lines:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_cut_off_by_a_stop_are_found() {
+    // By then the engines have loaded adapters, and streams run at all nodes.
+    let stops = (5..13).map(|n| {
+        let fault = Fault::Stop { node: n % 3 };
+        Event { at: n as u64 * 1_000, end: n as u64 * 1_000 + 500, fault }
+    });
+    let lines = findings(14_000, &stops.collect::<Vec<_>>(), "ExitEarly").await;
+    assert!(found(&lines, "cut"), "{lines:#?}");
+}
--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -18,6 +18,7 @@
 
 use crate::crash_evidence::{Crash, CrashCause, CrashEvidence, Feature};
 use crate::edge::Edge;
+use crate::failpoint::{Failpoint, active};
 use crate::generated::mesh as wire;
 use crate::http_client::refuses_connections;
 use crate::ids::{Map, stable_hash};
@@ -99,6 +100,9 @@
 impl CrashWatch {
     /// The first of the features that is quarantined, and the time until its entry expires.
     pub(crate) fn quarantined(&self, now: Ms, features: &[Feature]) -> Option<(Feature, Ms)> {
+        if active(Failpoint::SkipQuarantine) {
+            return None;
+        }
         let list = self.quarantine.borrow();
         let entry = |f: &Feature| list.get(now, f.id).map(|e| (*f, e.expiry.since(now)));
         features.iter().find_map(entry)
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -21,6 +21,7 @@
 use crate::endpoint_table::EndpointTable;
 use crate::error::{Error, Result};
 use crate::exposition::Exposition;
+use crate::failpoint::{Failpoint, active};
 use crate::http_client::{HttpClient, HttpSettings};
 use crate::ids::Map;
 use crate::log_sink::{self, decision};
@@ -259,7 +260,7 @@
     loop {
         let now = BootClock.now();
         let idle = edge.connections.get() == 0 && now.since(started) >= MIN_SHUTDOWN;
-        if idle || now >= end {
+        if idle || now >= end || active(Failpoint::ExitEarly) {
             break;
         }
         sleep(Duration::from_millis(20)).await;
--- a/src/failpoint.rs
+++ b/src/failpoint.rs
@@ -24,6 +24,10 @@
     FalseNotRun,
     /// A request that may have run is resent although its route does not allow it.
     ResendSent,
+    /// Requests with quarantined features are served.
+    SkipQuarantine,
+    /// A stopping node exits without waiting for its callers.
+    ExitEarly,
 }
 
 /// Failpoints that the simulated fleet of the random tests supports.
@@ -38,12 +42,14 @@
 ];
 
 /// Failpoints that an edge node supports.
-pub const EDGE_FAILPOINTS: [Failpoint; 5] = [
+pub const EDGE_FAILPOINTS: [Failpoint; 7] = [
     Failpoint::IgnoreFence,
     Failpoint::LowerSerial,
     Failpoint::GrantLeaving,
     Failpoint::FalseNotRun,
     Failpoint::ResendSent,
+    Failpoint::SkipQuarantine,
+    Failpoint::ExitEarly,
 ];
 
 /// Environment variable that names the failpoint of an edge node.
--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -165,6 +165,15 @@
         self.signal(Signal::TERM);
     }
 
+    /// Whether the process has exited.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be waited for.
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// Waits for the exit code; `None` if a signal ended the process.
     ///
     /// # Panics
