--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -8,7 +8,11 @@
 
 /// Returns the findings of a run with an active failpoint.
 async fn findings(length_ms: u64, events: &[Event], failpoint: &str) -> Vec<String> {
-    let history = run(1, length_ms, Size::default(), events, Some(failpoint)).await;
+    findings_of(Size::default(), length_ms, events, failpoint).await
+}
+
+async fn findings_of(size: Size, length_ms: u64, events: &[Event], failpoint: &str) -> Vec<String> {
+    let history = run(1, length_ms, size, events, Some(failpoint)).await;
     println!("{}", history.summary());
     check(&history)
 }
@@ -63,8 +67,9 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_that_crash_engines_without_end_are_found() {
-    let events = [Event { at: 500, end: 14_000, fault: Fault::Poison }];
-    let lines = findings(16_000, &events, "SkipQuarantine").await;
+    let events = [Event { at: 500, end: 18_000, fault: Fault::Poison }];
+    let size = Size { engines: 6, ..Size::default() };
+    let lines = findings_of(size, 20_000, &events, "SkipQuarantine").await;
     assert!(found(&lines, "fatal"), "{lines:#?}");
 }
 
