Remove the holders' rows of endpoints that are gone

Each start of an endpoint leaves a row in the table holders for good. Class: records without an end of life.

Change: a row is removed once its endpoint has been unlisted for a minute, by its holder or, if that has no lease, by the node that rendezvous hashing names; not within a minute after a failed call to the store.

--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -26,6 +26,11 @@
 pub const NODE_COUNTED_FOR: Ms = Ms::secs(40);
 /// Margin for nodes whose clocks run at different rates.
 pub const CLOCK_MARGIN: Ms = Ms(1_000);
+/// Time for which an endpoint must be unlisted before its row is removed. It is longer than an
+/// entry is missing after an outage of the store.
+pub const UNLISTED_FOR: Ms = Ms::secs(60);
+/// Most rows removed at once; the store's transactions take up to 100 entries.
+const MAX_REMOVALS: usize = 50;
 /// Time that a starting node waits for the rows of other nodes before it claims endpoints
 /// that it did not hold before.
 pub const FIRST_CLAIM_DELAY: Ms = Ms(1_500);
@@ -103,6 +108,8 @@
     nodes: Map<Rc<str>, NodeRecord>,
     holders: Map<Rc<str>, HolderRecord>,
     held: Map<Rc<str>, OrderFence>,
+    /// Endpoints that have rows and are not listed, with the instant from which on.
+    unlisted: Map<Rc<str>, Ms>,
     /// Pauses of claims that were written but whose rows have not been read back.
     pauses: Map<Rc<str>, Ms>,
     /// Whether the rows of the nodes have been read.
@@ -125,6 +132,7 @@
             nodes: Map::default(),
             holders: Map::default(),
             held: Map::default(),
+            unlisted: Map::default(),
             pauses: Map::default(),
             nodes_read: false,
         }
@@ -253,6 +261,33 @@
         engines.len().div_ceil(self.live_nodes(now).count().max(1))
     }
 
+    /// Rows that this node should remove because their endpoints are gone, with their versions:
+    /// its own, and its part of those of nodes without a lease. `is_listed` tells whether an
+    /// endpoint is known.
+    pub fn due_removals(
+        &mut self,
+        now: Ms,
+        is_listed: impl Fn(&str) -> bool,
+    ) -> Vec<(Rc<str>, u64)> {
+        let holders = &self.holders;
+        self.unlisted.retain(|id, _| holders.contains_key(id) && !is_listed(id));
+        for id in holders.keys().filter(|id| !is_listed(id)) {
+            self.unlisted.entry(id.clone()).or_insert(now);
+        }
+        if !self.has_lease(now) {
+            return Vec::new();
+        }
+        let names: Vec<&str> = self.live_nodes(now).map(|n| &*n.name).collect();
+        let is_own = |id: &str, node: &Rc<str>| match self.is_live(now, node) {
+            true => *node == self.name,
+            false => rendezvous_first(id, names.iter().copied()) == Some(&*self.name),
+        };
+        let gone = self.unlisted.iter().filter(|(_, since)| now.since(**since) >= UNLISTED_FOR);
+        let rows = gone.filter_map(|(id, _)| Some((id, self.holders.get(id)?)));
+        let due = rows.filter(|(id, h)| is_own(id, &h.node));
+        due.map(|(id, h)| (id.clone(), h.fence)).take(MAX_REMOVALS).collect()
+    }
+
     /// Claims that this node should write, given the instance IDs of all engine endpoints.
     pub fn due_claims(&self, now: Ms, engines: &[Rc<str>]) -> Vec<HolderClaim> {
         if !self.has_lease(now) || !self.nodes_read {
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -19,7 +19,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::edge::{Edge, EncodedEntry};
-use crate::endpoint_holders::{HolderClaim, HolderRecord, NodeRecord, RENEW_INTERVAL};
+use crate::endpoint_holders::{
+    HolderClaim, HolderRecord, NodeRecord, RENEW_INTERVAL, UNLISTED_FOR,
+};
 use crate::endpoint_table::EndpointEntry;
 use crate::error::{Error, Result};
 use crate::generated::mesh as wire;
@@ -392,6 +394,33 @@
     }
 }
 
+/// Removes the rows of endpoints that are gone.
+async fn remove_old_rows(edge: &Edge, now: Ms) -> Result<()> {
+    let due = {
+        let table = edge.table.borrow();
+        edge.holders.borrow_mut().due_removals(now, |id| table.get(id).is_some())
+    };
+    // During and after an outage of the store, entries may be missing of endpoints that are not
+    // gone.
+    let outage = now.since(edge.store_failure.get()) < UNLISTED_FOR;
+    if due.is_empty() || outage || !edge.entries_read.get() {
+        return Ok(());
+    }
+    let changes: Vec<Change<'_>> = due
+        .iter()
+        .map(|(id, version)| Change {
+            table: HOLDERS_TABLE,
+            key: id,
+            expected: Some(*version),
+            value: None,
+        })
+        .collect();
+    if matches!(commit(edge, &changes, &[]).await?, Outcome::Done(_)) {
+        decision!("holder_rows_removed", "count": due.len());
+    }
+    Ok(())
+}
+
 fn engine_endpoints(edge: &Edge) -> Vec<Rc<str>> {
     let routing = edge.routing.borrow();
     let table = edge.table.borrow();
@@ -450,6 +479,7 @@
     for c in &claims {
         write_claim(edge, c).await?;
     }
+    remove_old_rows(edge, now).await?;
     match claims.is_empty() {
         true => Ok(true),
         false => read_holders(edge).await,
--- a/tests/endpoint_holders.rs
+++ b/tests/endpoint_holders.rs
@@ -5,7 +5,7 @@
 
 use sycamorefork::endpoint_holders::{
     CLOCK_MARGIN, EndpointHolders, FIRST_CLAIM_DELAY, HolderClaim, HolderRecord, LEASE_TTL,
-    NodeRecord,
+    NodeRecord, UNLISTED_FOR,
 };
 use sycamorefork::time::Ms;
 
@@ -198,3 +198,35 @@
     let lease = b.due_claims(lapsed, &[Rc::from("i-1")]).remove(0).former_lease;
     assert_eq!(lease, Some((Rc::from("a"), 0)));
 }
+
+// Each start of an endpoint leaves a row. Rows of endpoints that are gone for a while are removed,
+// by their holder or, if that is gone too, by one of the others.
+#[test]
+fn rows_of_endpoints_that_are_gone_are_removed_once() {
+    let row = |id: &str, node: &str, fence| (Rc::from(id), holding(node, 1, fence).1);
+    let mut nodes = [EndpointHolders::new("a", 1, HANDOVER_PAUSE, Ms(0)), {
+        EndpointHolders::new("b", 1, HANDOVER_PAUSE, Ms(0))
+    }];
+    let mut removed = Vec::new();
+    for at in [Ms(0), UNLISTED_FOR - Ms(1), UNLISTED_FOR] {
+        for node in &mut nodes {
+            node.on_renewed(at, at);
+            node.on_nodes(at, vec![node_at("a", at), node_at("b", at)]);
+            let rows = [("i-1", "a"), ("i-2", "b"), ("i-3", "c"), ("i-4", "a"), ("i-5", "b")];
+            let rows = rows.into_iter().zip(10..).map(|((id, n), fence)| row(id, n, fence));
+            node.on_holders(at, rows.collect());
+            let due = node.due_removals(at, |id| id == "i-4" || id == "i-5");
+            assert!(due.is_empty() || at == UNLISTED_FOR);
+            removed.extend(due);
+        }
+    }
+    removed.sort();
+    let expected: Vec<(Rc<str>, u64)> =
+        vec![(Rc::from("i-1"), 10), (Rc::from("i-2"), 11), (Rc::from("i-3"), 12)];
+    assert_eq!(removed, expected);
+}
+
+/// Row of a node that changes with time.
+fn node_at(name: &str, at: Ms) -> NodeRecord {
+    node(name, 100 + at.0)
+}
