Load no version of an adapter older than the one that its holder knows

Seen while looking for processes that act on what is no longer so: a node that is cut off from the store asks the holder of an endpoint for the version of an adapter that it knows. The holder ordered that version although it knew a newer one, and replaced it with the older one, which the other nodes' requests refuse.

Change: the holder loads the newer of the two, and names that version when it is in place. The node that asked waits in vain until it learns the version from the store; it does not learn it from its peers, which remains open.

holder_loads_no_version_older_than_the_one_it_knows failed before (ordered 3).

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -350,7 +350,8 @@
 
 fn on_want(edge: &Edge, now: Ms, node: &str, from: SocketAddr, want: &wire::Want) {
     let adapter: Rc<str> = Rc::from(want.adapter.as_str());
-    let version = Some(want.version).filter(|v| *v > 0);
+    // A node without the store may not know the newest version.
+    let version = Some(want.version).filter(|v| *v > 0).max(edge.adapter_version(&adapter));
     let mut kept = edge.held.borrow_mut();
     let Some(k) = kept.get_mut(want.endpoint.as_str()) else {
         drop(kept);
@@ -362,7 +363,7 @@
         &AdapterDemand { adapter: &adapter, version, node, waiters: want.waiters },
     ) {
         drop(kept);
-        send_placed(edge, from, &want.endpoint, &adapter, want.version, true);
+        send_placed(edge, from, &want.endpoint, &adapter, version.unwrap_or(0), true);
         return;
     }
     let askers = k.waiting_nodes.entry(adapter).or_default();
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -475,3 +475,33 @@
     let text = page.unwrap().body;
     assert!(!text.contains("i-1") && text.contains("i-2"), "{text}");
 }
+
+// A node that is cut off from the store asks for the version of an adapter that it knows.
+#[tokio::test]
+async fn holder_loads_no_version_older_than_the_one_it_knows() {
+    let world = TestSetup::start().await;
+    world.rows.put(
+        "op",
+        "version/base.a1",
+        &json!({"Model": "base", "Adapter": "a1", "Version": 4}),
+    );
+    let node = Node::start("edge-older", world.store_address()).await;
+    wait_until("the engine has a holder", || async { !world.assist.reports().is_empty() }).await;
+    let want = mesh::Want {
+        endpoint: "i-9".to_owned(),
+        adapter: "base/a1".to_owned(),
+        version: 3,
+        waiters: 1,
+    };
+    let datagram = mesh::Datagram {
+        node: "peer".to_owned(),
+        start: 1,
+        wants: vec![want],
+        ..mesh::Datagram::default()
+    };
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.send_to(&datagram.encode_to_vec(), node.addresses.internal).await.unwrap();
+    wait_until("the adapter is ordered", || async { !world.assist.orders().is_empty() }).await;
+    let versions: Vec<_> = world.assist.orders().iter().map(|o| o["Version"].as_u64()).collect();
+    assert!(versions.iter().all(|v| *v == Some(4)), "{versions:?}");
+}
