Take a replaced instance for a crash too

Cause: a crash was recognised only if the endpoint's address refused connections. Behind a proxy, or after an immediate restart, it accepts them. Class: one sign of an event taken for the event.

A crash counts 120 ms after its last report instead of after its time, since nodes learn of a replaced instance at different times. The soak's proxy moves to the stand-ins, where tests can use it.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -10,6 +10,7 @@
 use standin::caller::KEY;
 use standin::endpoint_instance::{self, Instance};
 use standin::node::{Node, NodeAddresses};
+use standin::proxy::{Mode, Proxy};
 use standin::row_store::{self, RowStore};
 use standin::test_setup::document;
 use tokio::time::sleep;
@@ -19,7 +20,6 @@
     Config, Departure, EVENTS_PER_STREAM, History, METER_BURST, METER_RATE, NodeTime,
 };
 use crate::plan::{Event, Fault, Size};
-use crate::proxy::{Mode, Proxy};
 
 /// Version of the first configuration.
 const FIRST_VERSION: u64 = 3;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,4 +8,3 @@
 pub mod check;
 pub mod fleet;
 pub mod plan;
-pub mod proxy;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -3,10 +3,9 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
+use standin::proxy::Mode;
 use standin::{endpoint_instance, row_store};
 
-use crate::proxy::Mode;
-
 /// Number of processes and endpoints in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
--- a/src/crash_evidence.rs
+++ b/src/crash_evidence.rs
@@ -21,7 +21,8 @@
 const CRASHES_OF_COMPLETED: usize = 5;
 /// Crashes within this time of the first one count once.
 const SAME_MOMENT: Ms = Ms(50);
-/// Time after which a crash counts. Peers report their requests at the endpoint within it.
+/// Time after the last report of a crash from which on it counts. Each node reports its own
+/// requests at the endpoint.
 const SETTLE_TIME: Ms = Ms(120);
 /// Time for which a crash counts.
 const CRASH_MAX_AGE: Ms = Ms::secs(600);
@@ -101,11 +102,18 @@
     }
 }
 
+/// A crash with the time of the last report of further suspects.
+#[derive(Clone, Debug)]
+struct KnownCrash {
+    crash: Crash,
+    reported: Ms,
+}
+
 /// Crashes known to this node, and the features that completed.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
     /// Crashes that no known cause explains, ordered by time.
-    crashes: VecDeque<Crash>,
+    crashes: VecDeque<KnownCrash>,
     completions: Completions,
 }
 
@@ -113,20 +121,24 @@
     /// Records a crash, or further suspects of a known one. Returns whether anything was new.
     ///
     /// The caller leaves out crashes whose suspects include a known cause.
-    pub fn on_crash(&mut self, crash: Crash) -> bool {
+    pub fn on_crash(&mut self, now: Ms, crash: Crash) -> bool {
         let Crash { process, at, mut suspects } = crash;
-        if let Some(i) = self.crashes.iter().position(|c| c.process == process) {
+        if let Some(i) = self.crashes.iter().position(|c| c.crash.process == process) {
             let known = &mut self.crashes[i];
-            suspects.retain(|f| !known.suspects.contains(f));
-            let is_new = !suspects.is_empty();
-            known.suspects.extend(suspects);
-            known.suspects.truncate(MAX_SUSPECTS);
-            known.at = known.at.min(at);
+            suspects.retain(|f| !known.crash.suspects.contains(f));
+            if suspects.is_empty() {
+                return false;
+            }
+            known.crash.suspects.extend(suspects);
+            known.crash.suspects.truncate(MAX_SUSPECTS);
+            known.crash.at = known.crash.at.min(at);
+            known.reported = now;
             self.sort();
-            return is_new;
+            return true;
         }
         suspects.truncate(MAX_SUSPECTS);
-        self.crashes.push_back(Crash { process, at, suspects });
+        let crash = Crash { process, at, suspects };
+        self.crashes.push_back(KnownCrash { crash, reported: now });
         self.sort();
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.pop_front();
@@ -135,7 +147,7 @@
     }
 
     fn sort(&mut self) {
-        self.crashes.make_contiguous().sort_by_key(|c| (c.at, c.process));
+        self.crashes.make_contiguous().sort_by_key(|c| (c.crash.at, c.crash.process));
     }
 
     /// Records that a request with a feature completed.
@@ -155,20 +167,23 @@
 
     /// Drops a crash that turned out to have a known cause.
     pub fn forget(&mut self, process: u64) {
-        self.crashes.retain(|c| c.process != process);
+        self.crashes.retain(|c| c.crash.process != process);
     }
 
     /// Features that count two crashes or more, with the times of their last completions.
     /// Nodes tell each other these times before they decide.
     pub fn contested(&self, now: Ms) -> impl Iterator<Item = (u64, Ms)> {
-        let counts = self.counts(now).into_values().filter(|c| c.crashes >= 2);
+        let counts = self.counts(now, Ms(0)).into_values().filter(|c| c.crashes >= 2);
         counts.filter_map(|c| Some((c.feature.id, self.last_completed(c.feature.id)?)))
     }
 
-    fn counts(&self, now: Ms) -> Map<u64, Count> {
+    /// Counts of all suspects over the crashes that have settled for `settle_time`.
+    fn counts(&self, now: Ms, settle_time: Ms) -> Map<u64, Count> {
         let mut counts: Map<u64, Count> = Map::default();
         let (mut moment, mut moment_begun) = (0, None);
-        for crash in self.crashes.iter().filter(|c| now.since(c.at) < CRASH_MAX_AGE) {
+        let settled = self.crashes.iter().filter(|c| now.since(c.reported) >= settle_time);
+        let recent = settled.map(|c| &c.crash).filter(|c| now.since(c.at) < CRASH_MAX_AGE);
+        for crash in recent {
             if moment_begun.is_none_or(|begun| crash.at.since(begun) > SAME_MOMENT) {
                 moment += 1;
                 moment_begun = Some(crash.at);
@@ -197,15 +212,12 @@
     }
 
     /// The next cause that the crashes show, if any; the crashes that it explains are dropped.
-    /// Crashes younger than [`SETTLE_TIME`] do not count.
+    /// Crashes that were reported within [`SETTLE_TIME`] do not count.
     pub fn take_cause(&mut self, now: Ms) -> Option<CrashCause> {
         if self.crashes.len() < CRASHES_OF_UNKNOWN {
             return None;
         }
-        let newest = self.crashes.iter().filter(|c| now.since(c.at) >= SETTLE_TIME).count();
-        let young = self.crashes.split_off(newest);
-        let counts = self.counts(now);
-        self.crashes.extend(young);
+        let counts = self.counts(now, SETTLE_TIME);
         let never_completed = |c: &Count| self.last_completed(c.feature.id).is_none();
         let rank = |c: &Count| (never_completed(c), c.crashes, c.feature.depth);
         let mut candidates: Vec<&Count> = counts.values().filter(|c| self.is_enough(c)).collect();
@@ -222,6 +234,6 @@
 
     /// Drops the crashes that a feature explains.
     pub fn explain(&mut self, feature: u64) {
-        self.crashes.retain(|c| !c.suspects.iter().any(|f| f.id == feature));
+        self.crashes.retain(|c| !c.crash.suspects.iter().any(|f| f.id == feature));
     }
 }
--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -2,7 +2,8 @@
 //! with a feature that makes endpoints crash.
 //!
 //! A connection that breaks before its answer is complete makes the node test whether the
-//! endpoint still accepts connections. If not, the endpoint has crashed: the node tells its
+//! endpoint still accepts connections. If not, or if the endpoint soon turns out to have been
+//! replaced, it has crashed: the node tells its
 //! peers which features its requests there had, and each node decides on the merged evidence
 //! (`crash_evidence`). Causes are quarantined in the whole fleet: nodes tell each other by
 //! datagram, and `quarantine_store` keeps them in the platform's store.
@@ -202,7 +203,7 @@
             evidence.forget(crash.process);
             return;
         }
-        if self.evidence.borrow_mut().on_crash(crash) {
+        if self.evidence.borrow_mut().on_crash(now, crash) {
             self.last_evidence.set(now);
             self.weigh.notify_one();
         }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -235,6 +235,7 @@
 
     /// Marks an endpoint as leaving because another instance answered in its place.
     pub(crate) fn mark_replaced(&self, id: &Rc<str>, why: &str) {
+        crash_watch::on_crashed(self, id, why);
         let version = self.table.borrow().get(id).map_or(0, |e| e.row_version);
         self.mark_leaving(id, why, version);
     }
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::crash_watch;
 use crate::edge::{Edge, EncodedEntry};
 use crate::endpoint_holders::{
     HolderClaim, HolderRecord, NodeRecord, RENEW_INTERVAL, UNLISTED_FOR,
@@ -274,7 +275,11 @@
                 return true;
             }
             edge.entries.borrow_mut().remove(id);
-            if edge.table.borrow_mut().remove(id).is_some() {
+            let removed = edge.table.borrow_mut().remove(id);
+            if let Some(state) = removed {
+                if !state.entry.leaving {
+                    crash_watch::on_crashed(&edge, id, "its entry lapsed");
+                }
                 decision!("endpoint_gone", "endpoint": &**id, "waited_ms": now.since(*at).0);
                 edge.departures.borrow_mut().record(now, id, version);
             }
@@ -303,10 +308,11 @@
     if old.is_none_or(|(_, start)| start != entry.started_at) {
         edge.endpoint_added.notify_one();
     }
-    if old.is_some_and(|(_, start)| start != entry.started_at)
-        && let Some(k) = edge.held.borrow_mut().get_mut(&id)
-    {
-        k.planner.on_restart();
+    if old.is_some_and(|(_, start)| start != entry.started_at) {
+        crash_watch::on_crashed(edge, &id, "it has restarted");
+        if let Some(k) = edge.held.borrow_mut().get_mut(&id) {
+            k.planner.on_restart();
+        }
     }
     table.update(entry);
     if let Some(e) = table.get_mut(&id) {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod node;
 pub mod object_store;
 pub mod platform;
+pub mod proxy;
 pub mod report;
 pub mod row_store;
 pub mod table;
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -14,6 +14,11 @@
     Crash { process, at: Ms(at), suspects: suspects.to_vec() }
 }
 
+/// Records a crash that is reported at once.
+fn record(evidence: &mut CrashEvidence, process: u64, at: u64, suspects: &[Feature]) -> bool {
+    evidence.on_crash(Ms(at), crash(process, at, suspects))
+}
+
 /// The cause that the evidence shows at a time: its feature and number of crashes.
 fn cause(evidence: &mut CrashEvidence, now: Ms) -> Option<(u64, usize)> {
     evidence.take_cause(now).map(|c| (c.feature.id, c.crashes))
@@ -28,7 +33,7 @@
     for n in 0..3 {
         e.on_completed(Ms(n * 300), first.id);
         let sometimes = part(50 + n / 2, 1);
-        e.on_crash(crash(n, n * 300 + 100, &[first, part(10 + n, 1), sometimes, dead]));
+        record(&mut e, n, n * 300 + 100, &[first, part(10 + n, 1), sometimes, dead]);
     }
     assert_eq!(cause(&mut e, Ms(700)), None, "the last crash has not settled");
     assert_eq!(cause(&mut e, Ms(700) + SETTLED), Some((666, 3)));
@@ -42,7 +47,7 @@
     let mut e = CrashEvidence::default();
     for n in 0..3 {
         let whole = part(900 + n, Feature::WHOLE_REQUEST);
-        e.on_crash(crash(n, n * 100, &[part(1, 0), part(2, 1), part(666, 2), whole]));
+        record(&mut e, n, n * 100, &[part(1, 0), part(2, 1), part(666, 2), whole]);
     }
     assert_eq!(cause(&mut e, Ms(200) + SETTLED), Some((666, 3)));
 }
@@ -52,12 +57,12 @@
 fn endpoints_that_crash_at_the_same_moment_count_once() {
     let mut e = CrashEvidence::default();
     for n in 0..12 {
-        e.on_crash(crash(n, 100 + n, &[part(7, 1)]));
+        record(&mut e, n, 100 + n, &[part(7, 1)]);
     }
     assert_eq!(cause(&mut e, Ms(5_000)), None);
-    e.on_crash(crash(20, 2_000, &[part(7, 1)]));
+    record(&mut e, 20, 2_000, &[part(7, 1)]);
     assert_eq!(cause(&mut e, Ms(5_000)), None);
-    e.on_crash(crash(21, 4_000, &[part(7, 1)]));
+    record(&mut e, 21, 4_000, &[part(7, 1)]);
     assert_eq!(cause(&mut e, Ms(5_000)), Some((7, 3)));
 }
 
@@ -66,7 +71,7 @@
 fn no_cause_is_named_while_two_features_are_equal() {
     let mut e = CrashEvidence::default();
     for n in 0..4 {
-        e.on_crash(crash(n, n * 100, &[part(7, 1), part(8, 1)]));
+        record(&mut e, n, n * 100, &[part(7, 1), part(8, 1)]);
     }
     assert_eq!(cause(&mut e, Ms(1_000)), None);
     e.on_completed(Ms(900), 8);
@@ -79,7 +84,7 @@
     let mut e = CrashEvidence::default();
     for n in 0..7 {
         let suspect = if n % 2 == 0 { part(7, 1) } else { part(8, 1) };
-        e.on_crash(crash(n, n * 100, &[suspect]));
+        record(&mut e, n, n * 100, &[suspect]);
     }
     assert_eq!(cause(&mut e, Ms(1_000)), Some((7, 4)));
     assert_eq!(cause(&mut e, Ms(1_000)), Some((8, 3)));
@@ -92,7 +97,7 @@
     let mut e = CrashEvidence::default();
     e.on_completed(Ms(10), 1);
     for n in 0..6 {
-        e.on_crash(crash(n, 100 + n * 100, &[part(1, 0)]));
+        record(&mut e, n, 100 + n * 100, &[part(1, 0)]);
     }
     assert_eq!(cause(&mut e, Ms(1_000)), None);
     e.on_completed(Ms(900), 2);
@@ -104,12 +109,12 @@
 fn reports_of_one_crash_are_merged() {
     let mut e = CrashEvidence::default();
     for n in 0..3 {
-        assert!(e.on_crash(crash(n, n * 100, &[part(10 + n, 1)])));
-        assert!(!e.on_crash(crash(n, n * 100 + 30, &[part(10 + n, 1)])));
+        assert!(record(&mut e, n, n * 100, &[part(10 + n, 1)]));
+        assert!(!record(&mut e, n, n * 100 + 30, &[part(10 + n, 1)]));
     }
     assert_eq!(cause(&mut e, Ms(1_000)), None);
     for n in 0..3 {
-        assert!(e.on_crash(crash(n, n * 100 + 40, &[part(666, 2)])));
+        assert!(record(&mut e, n, n * 100 + 40, &[part(666, 2)]));
     }
     assert_eq!(cause(&mut e, Ms(1_000)), Some((666, 3)));
 }
@@ -119,10 +124,10 @@
 fn explained_crashes_do_not_count() {
     let mut e = CrashEvidence::default();
     for n in 0..3 {
-        e.on_crash(crash(n, n * 100, &[part(7, 1), part(666, 2)]));
+        record(&mut e, n, n * 100, &[part(7, 1), part(666, 2)]);
     }
     e.explain(666);
     assert!(!e.has_crashes());
-    e.on_crash(crash(9, 400, &[part(7, 1)]));
+    record(&mut e, 9, 400, &[part(7, 1)]);
     assert_eq!(cause(&mut e, Ms(1_000)), None);
 }
--- a/tests/edge_crashes.rs
+++ b/tests/edge_crashes.rs
@@ -4,9 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use serde_json::json;
 use standin::caller::{CallerRequest, KEY, exchange, wait_until};
 use standin::endpoint_instance::Instance;
 use standin::node::Node;
+use standin::proxy::Proxy;
 use standin::row_store::RowStore;
 use standin::test_setup::document;
 use tokio::task::JoinHandle;
@@ -25,6 +27,9 @@
     rows: Arc<RowStore>,
     service: &'static str,
     trigger: &'static str,
+    /// Whether a proxy that always accepts connections is before each endpoint.
+    proxied: bool,
+    proxies: Arc<Mutex<Vec<Proxy>>>,
     live: Arc<Mutex<Vec<Instance>>>,
     crashed: Arc<Mutex<Vec<(Instance, Instant)>>>,
 }
@@ -37,8 +42,18 @@
         count: usize,
         trigger: &'static str,
     ) -> (Self, JoinHandle<()>) {
-        let (live, crashed) = Default::default();
-        let own = Self { rows: rows.clone(), service, trigger, live, crashed };
+        Self::start_behind(false, rows, service, count, trigger).await
+    }
+
+    async fn start_behind(
+        proxied: bool,
+        rows: &Arc<RowStore>,
+        service: &'static str,
+        count: usize,
+        trigger: &'static str,
+    ) -> (Self, JoinHandle<()>) {
+        let (proxies, live, crashed) = Default::default();
+        let own = Self { rows: rows.clone(), service, trigger, proxied, proxies, live, crashed };
         for n in 0..count {
             own.add(&format!("{service}-{n}"), true).await;
         }
@@ -54,7 +69,13 @@
         };
         let instance = instance.unwrap();
         instance.set_crash_trigger(self.trigger);
-        self.rows.put("servers", id, &instance.entry("ready"));
+        let mut entry = instance.entry("ready");
+        if self.proxied {
+            let proxy = Proxy::start(instance.address()).await.unwrap();
+            entry["Address"] = json!(proxy.address.to_string());
+            self.proxies.lock().unwrap().push(proxy);
+        }
+        self.rows.put("servers", id, &entry);
         self.live.lock().unwrap().push(instance);
     }
 
@@ -141,12 +162,24 @@
 // Requests that share one part of their prompt and nothing else crash each engine.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn prompt_part_that_crashes_engines_is_refused_and_others_are_served() {
+    check_fatal_part("crash-part", false).await;
+}
+
+// Connections are accepted before a crashed endpoint too, so that its new instance is the first
+// sign of the crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn prompt_part_that_crashes_engines_behind_proxies_is_refused() {
+    check_fatal_part("crash-proxied", true).await;
+}
+
+async fn check_fatal_part(name: &str, proxied: bool) {
     let rows = Arc::new(RowStore::start().await.unwrap());
     store_with_document(&rows);
-    let (engines, supervisor) = CrashingService::start(&rows, "assist", 4, "dead").await;
+    let (engines, supervisor) =
+        CrashingService::start_behind(proxied, &rows, "assist", 4, "dead").await;
     let nodes = [
-        Node::start("crash-part-1", rows.server.address).await,
-        Node::start("crash-part-2", rows.server.address).await,
+        Node::start(&format!("{name}-1"), rows.server.address).await,
+        Node::start(&format!("{name}-2"), rows.server.address).await,
     ];
     let fronts = [nodes[0].addresses.frontend, nodes[1].addresses.frontend];
     wait_until("the engines serve", || ask(fronts[0], "p0", "a1:20,b1:20,c:20")).await;
