Bound the evidence of crashes in a datagram

Many crashes with many requests in flight could make a heartbeat larger than a datagram that peers can receive, and the heartbeat would be lost with it. The newest crashes are sent up to 2,000 features, and up to 64 entries of the quarantine; the others are in the store.

--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -39,6 +39,11 @@
 const WEIGH_INTERVAL: Duration = Duration::from_millis(20);
 /// Time without new evidence after which it is not weighed again.
 const WEIGHED_FOR: Ms = Ms(500);
+/// Most features of crashes in a datagram, the newest crashes first; at 9 bytes each they leave
+/// room for a heartbeat.
+const MAX_SHARED_FEATURES: usize = 2_000;
+/// Most quarantine entries in a datagram; nodes read the others from the store.
+const MAX_SHARED_ENTRIES: usize = 64;
 /// Most suspects named in a log line.
 const MAX_LOGGED_SUSPECTS: usize = 32;
 
@@ -231,8 +236,16 @@
         let age = |at: Ms| u32::try_from(now.since(at).0).unwrap_or(u32::MAX);
         let own = self.own_crashes.borrow();
         let recent = own.iter().filter(|(_, added)| now.since(*added) < SHARED_FOR);
+        let mut features = 0;
+        let fits = |c: &&Crash| {
+            features += c.suspects.len();
+            features <= MAX_SHARED_FEATURES
+        };
         datagram.crashes = recent
-            .map(|(c, _)| wire::Crash {
+            .rev()
+            .map(|(c, _)| c)
+            .take_while(fits)
+            .map(|c| wire::Crash {
                 process: c.process,
                 age: age(c.at),
                 features: c.suspects.iter().map(|f| f.id).collect(),
@@ -242,11 +255,13 @@
         let contested = self.evidence.borrow().contested(now).collect::<Vec<_>>();
         datagram.completed = contested
             .into_iter()
+            .take(MAX_SHARED_FEATURES)
             .map(|(feature, at)| wire::Completed { feature, age: age(at) })
             .collect();
         datagram.quarantined = self
             .entries(now)
             .into_iter()
+            .take(MAX_SHARED_ENTRIES)
             .map(|e| wire::Quarantined {
                 feature: e.fingerprint,
                 reason: e.reason,
@@ -330,6 +345,7 @@
     drop(crashed);
     suspects.sort_unstable();
     suspects.dedup();
+    suspects.truncate(MAX_SHARED_FEATURES);
     let named: Vec<String> = suspects.iter().take(MAX_LOGGED_SUSPECTS).map(|f| hex(f.id)).collect();
     decision!("endpoint_crashed", "endpoint": &**id, "evidence": evidence,
         "broken_ms": now.since(at).0, "suspects": named, "count": suspects.len());
