Identify a request by its prompt and model too when crashes are attributed

That digest was made of team, method, path and body, so all requests of a stream route, whose bodies are empty and whose prompts are named by headers, were one request. Sound ones were in flight at each crash and counted as suspects. Where crashes show late, as behind a proxy, the digest had not been seen to complete and was the cause from three crashes on. Not load: 14 of 14 runs failed, alone and three at a time. Class: an identifier that leaves out part of what identifies its subject.

prompt_part_that_crashes_engines_behind_proxies_is_refused failed in 14 of 14 runs before and passes in 9 of 9, three at a time. Nodes started by tests write their logs to the directory that NODE_LOG_DIR names.

--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -93,7 +93,12 @@
     let shared = parsed.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
     let team = team.map_or("", |t| &*t.name);
     let path = head.uri.path_and_query().map_or("", |p| p.as_str());
-    let words = [team.as_bytes(), head.method.as_str().as_bytes(), path.as_bytes(), body];
+    let model = parsed.model.as_deref().unwrap_or_default();
+    // Requests of streams often differ in the parts of their prompts only.
+    let prompt: Vec<u8> = parsed.prompt_parts.iter().flat_map(|p| p.id.to_be_bytes()).collect();
+    let method = head.method.as_str();
+    let words = [team, method, path, model].map(str::as_bytes);
+    let words: Vec<&[u8]> = words.into_iter().chain([&*prompt, body]).collect();
     let whole = Feature { id: stable_hash(&words), depth: Feature::WHOLE_REQUEST };
     let parts = shared.iter().zip(0..Feature::WHOLE_REQUEST);
     parts.map(|(p, depth)| Feature { id: p.id, depth }).chain([whole]).collect()
--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -1,5 +1,6 @@
 //! Runs an edge node as a separate process.
 
+use std::fs::OpenOptions;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -86,6 +87,17 @@
     })
 }
 
+/// Environment variable that names a directory to which nodes write their logs.
+const LOG_DIR: &str = "NODE_LOG_DIR";
+
+/// The output of a node: a file in the directory that [`LOG_DIR`] names, if it is set.
+fn log_output(name: &str) -> Stdio {
+    let Some(dir) = std::env::var_os(LOG_DIR) else { return Stdio::null() };
+    let path = PathBuf::from(dir).join(format!("{name}.jsonl"));
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    file.expect("the log file can be opened").into()
+}
+
 /// A process of an edge node, killed when dropped.
 pub struct Node {
     child: Child,
@@ -125,7 +137,7 @@
         let path = std::env::temp_dir().join(format!("{name}-{}.json", addresses.frontend.port()));
         std::fs::write(&path, settings(name, &addresses, store).to_string()).unwrap();
         let mut command = Command::new(program_path());
-        command.args(["edge", "--settings"]).arg(&path).stdout(Stdio::null());
+        command.args(["edge", "--settings"]).arg(&path).stdout(log_output(name));
         command.envs(failpoint.map(|name| ("SYCAMOREFORK_FAILPOINT", name)));
         Self { child: command.spawn().unwrap(), addresses }
     }
