Remember completed requests before a crash is known

Cause: completions of requests as a whole were recorded only while crashes were known. Crashes that show late, by a lapsed entry or a new instance, found no completion, so the request counted as one that never completed, for which three crashes are enough. Class: evidence that is gathered only after it is needed.

Change: completions are always recorded. Those of whole requests have a store of their own, bounded as that of the prompt parts, so that requests which occur once displace no part.

frequent_request_is_served_after_endpoints_crashed_in_turn failed before (503 quarantined, "3 crashes of endpoints that ran this request") and passes; requests_that_occur_once_displace_no_completed_part covers the bound.

--- a/src/crash_evidence.rs
+++ b/src/crash_evidence.rs
@@ -30,7 +30,7 @@
 const MAX_CRASHES: usize = 128;
 /// Most suspects kept of one crash.
 const MAX_SUSPECTS: usize = 256;
-/// Completed features at which the older half of them is forgotten.
+/// Completed features of a kind at which the older half of them is forgotten.
 const MAX_COMPLETED: usize = 16_384;
 
 /// A property that requests share.
@@ -114,7 +114,10 @@
 pub struct CrashEvidence {
     /// Crashes that no known cause explains, ordered by time.
     crashes: VecDeque<KnownCrash>,
-    completions: Completions,
+    /// Completions of prompt parts.
+    parts: Completions,
+    /// Completions of requests as a whole. Most of these occur once and must not displace parts.
+    requests: Completions,
 }
 
 impl CrashEvidence {
@@ -150,14 +153,24 @@
         self.crashes.make_contiguous().sort_by_key(|c| (c.crash.at, c.crash.process));
     }
 
-    /// Records that a request with a feature completed.
-    pub fn on_completed(&mut self, now: Ms, feature: u64) {
-        self.completions.record(feature, now);
+    /// Records that a request with a feature completed. This counts for crashes that are reported
+    /// later too.
+    pub fn on_completed(&mut self, now: Ms, feature: Feature) {
+        match feature.depth {
+            Feature::WHOLE_REQUEST => self.requests.record(feature.id, now),
+            _ => self.parts.record(feature.id, now),
+        }
+    }
+
+    /// Records that a request with a feature completed at a peer. Peers report suspects only,
+    /// which are few.
+    pub fn on_peer_completed(&mut self, at: Ms, feature: u64) {
+        self.parts.record(feature, at);
     }
 
     /// When a request with a feature last completed, if that is remembered.
     pub fn last_completed(&self, feature: u64) -> Option<Ms> {
-        self.completions.last_of(feature)
+        self.parts.last_of(feature).max(self.requests.last_of(feature))
     }
 
     /// Whether there are crashes that no known cause explains.
@@ -205,9 +218,10 @@
     /// before, requests without it must have completed since its first crash: otherwise it may
     /// only be frequent.
     fn is_enough(&self, count: &Count) -> bool {
+        let last = self.parts.last.max(self.requests.last);
         match self.last_completed(count.feature.id) {
             None => count.crashes >= CRASHES_OF_UNKNOWN,
-            Some(_) => count.crashes >= CRASHES_OF_COMPLETED && self.completions.last > count.first,
+            Some(_) => count.crashes >= CRASHES_OF_COMPLETED && last > count.first,
         }
     }
 
--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -140,10 +140,7 @@
         let now = BootClock.now();
         let mut evidence = self.evidence.borrow_mut();
         for f in features {
-            // Requests as a whole are rarely equal, so they are remembered only if it matters.
-            if f.depth != Feature::WHOLE_REQUEST || evidence.has_crashes() {
-                evidence.on_completed(now, f.id);
-            }
+            evidence.on_completed(now, *f);
             if self.quarantine.borrow().get(now, f.id).is_some() {
                 self.lift(now, f.id, "a request with it completed");
             }
@@ -285,7 +282,7 @@
     ) {
         let at = |age: u32| Ms(now.0.saturating_sub(u64::from(age)));
         for c in &datagram.completed {
-            self.evidence.borrow_mut().on_completed(at(c.age), c.feature);
+            self.evidence.borrow_mut().on_peer_completed(at(c.age), c.feature);
         }
         for q in &datagram.quarantined {
             let expiry = now + Ms(q.left).min(DEFAULT_EXPIRY);
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -31,7 +31,7 @@
     let mut e = CrashEvidence::default();
     let (first, dead) = (part(1, 0), part(666, 2));
     for n in 0..3 {
-        e.on_completed(Ms(n * 300), first.id);
+        e.on_completed(Ms(n * 300), first);
         let sometimes = part(50 + n / 2, 1);
         record(&mut e, n, n * 300 + 100, &[first, part(10 + n, 1), sometimes, dead]);
     }
@@ -74,7 +74,7 @@
         record(&mut e, n, n * 100, &[part(7, 1), part(8, 1)]);
     }
     assert_eq!(cause(&mut e, Ms(1_000)), None);
-    e.on_completed(Ms(900), 8);
+    e.on_completed(Ms(900), part(8, 1));
     assert_eq!(cause(&mut e, Ms(1_000)), Some((7, 4)));
 }
 
@@ -95,15 +95,28 @@
 #[test]
 fn part_that_had_completed_needs_more_evidence() {
     let mut e = CrashEvidence::default();
-    e.on_completed(Ms(10), 1);
+    e.on_completed(Ms(10), part(1, 0));
     for n in 0..6 {
         record(&mut e, n, 100 + n * 100, &[part(1, 0)]);
     }
     assert_eq!(cause(&mut e, Ms(1_000)), None);
-    e.on_completed(Ms(900), 2);
+    e.on_completed(Ms(900), part(2, 1));
     assert_eq!(cause(&mut e, Ms(1_000)), Some((1, 6)));
 }
 
+// Most requests occur once; however many complete, they displace no completion of a part.
+#[test]
+fn requests_that_occur_once_displace_no_completed_part() {
+    let mut e = CrashEvidence::default();
+    e.on_completed(Ms(10), part(1, 0));
+    for n in 0..50_000 {
+        e.on_completed(Ms(20), part(1_000 + n, Feature::WHOLE_REQUEST));
+    }
+    assert_eq!(e.last_completed(1), Some(Ms(10)));
+    assert_eq!(e.last_completed(50_999), Some(Ms(20)));
+    assert_eq!(e.last_completed(1_000), None, "old requests are forgotten");
+}
+
 // Each node knows its own requests at an endpoint; the reports of a crash are merged.
 #[test]
 fn reports_of_one_crash_are_merged() {
--- a/tests/edge_crashes.rs
+++ b/tests/edge_crashes.rs
@@ -6,7 +6,7 @@
 
 use serde_json::json;
 use standin::caller::{CallerRequest, KEY, exchange, wait_until};
-use standin::endpoint_instance::Instance;
+use standin::endpoint_instance::{EndpointFault, Instance};
 use standin::node::Node;
 use standin::proxy::Proxy;
 use standin::row_store::RowStore;
@@ -16,6 +16,8 @@
 
 /// Time from the crash of an endpoint to its return as an empty instance.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// Time between crashes of endpoints that lose power in turn.
+const CRASH_INTERVAL: Duration = Duration::from_millis(100);
 /// `StableMs` of the platform: time after a crash from which its rules apply.
 const STABLE_AFTER: Duration = Duration::from_secs(3);
 /// Requests that may still reach endpoints once their cause of crashes must be known.
@@ -256,6 +258,56 @@
     supervisor.abort();
 }
 
+// Equal requests that had been served for long are in flight when the endpoints lose power in
+// turn, and each loss shows only once its entry lapses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frequent_request_is_served_after_endpoints_crashed_in_turn() {
+    let rows = Arc::new(RowStore::start().await.unwrap());
+    store_with_document(&rows);
+    let (ledger, supervisor) =
+        CrashingService::start_behind(true, &rows, "ledger", 3, "none").await;
+    let node = Node::start("crash-turn", rows.server.address).await;
+    let front = node.addresses.frontend;
+    let send = move |attempt: String| async move {
+        let mut request = CallerRequest::new("POST /enter/1", &attempt);
+        request.body = "frequent";
+        exchange(front, &request.bytes()).await.map(|a| (a.status, a.body))
+    };
+    for n in 0..20 {
+        let answer = send(format!("t{n}")).await.expect("an answer");
+        assert_eq!(answer.0, 200);
+    }
+    // Requests are in flight at each endpoint when it crashes.
+    let silent = |i: &Instance| i.set_fault(EndpointFault::Silent);
+    ledger.live.lock().unwrap().iter().for_each(silent);
+    let caller = tokio::spawn(async move {
+        for n in 0.. {
+            tokio::spawn(send(format!("u{n}")));
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+    for n in 0..3 {
+        wait_until("an endpoint with work has crashed", || async {
+            let live = ledger.live.lock().unwrap();
+            let has_work = |i: &&Instance| i.runs().iter().any(|r| r.attempt.starts_with('u'));
+            live.iter().find(has_work).map(Instance::crash).is_some()
+        })
+        .await;
+        sleep(CRASH_INTERVAL).await;
+        assert_eq!(ledger.crashes().len(), n + 1);
+    }
+    caller.abort();
+    wait_until("all are replaced", || async {
+        ledger.live.lock().unwrap().iter().filter(|i| i.id.contains("new")).count() == 3
+    })
+    .await;
+    // The causes of crashes are decided by then.
+    sleep(STABLE_AFTER).await;
+    let answer = send("v1".to_owned()).await.expect("an answer");
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    supervisor.abort();
+}
+
 // What crashes endpoints must not run again because the nodes that knew of it are gone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cause_of_crashes_stays_refused_after_all_nodes_were_killed() {
