Accept what has arrived before a listener of the role serve closes

Seen by operators of similar systems: requests that had just been accepted were cut off during a planned stop.

Cause: the server stops at a point in time. It drops the listener with the connections in its queue, and closes connections whose requests it has not read. Class: the end of work is measured by a clock instead of by the work.

Change: the acceptor decides when the listener closes: once it has been told to, no established connection is left to accept, and 0.3 s have passed since the last one. Only then does the server shut down, and only then is the node's authority released.

--- a/src/connection_limit.rs
+++ b/src/connection_limit.rs
@@ -1,28 +1,57 @@
-//! Limit on the open connections of a listener.
+//! Limit on the open connections of a listener, and the end of its accepting.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use poem::listener::{Acceptor, TcpAcceptor};
 use poem::web::{LocalAddr, RemoteAddr};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{Instant, sleep_until};
+
+/// Time that a caller has for a request on a connection to a listener that closes. What arrived
+/// while the process was delayed is read within it.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
 /// Acceptor with a limit on open connections; further ones wait in the listen backlog.
+///
+/// When it is told to close, it goes on until no established connection is left to accept and
+/// [`LAST_REQUEST_TIME`] has passed since the last one. Closing a listener resets the connections
+/// in its queue, and a server that shuts down closes connections whose requests it has not read.
 pub(crate) struct LimitedAcceptor {
     inner: TcpAcceptor,
     slots: Arc<Semaphore>,
+    closing: watch::Receiver<bool>,
+    closed: watch::Sender<bool>,
+    last_accepted: Instant,
 }
 
 impl LimitedAcceptor {
-    /// Limits an acceptor to `connections` open connections (at least 1).
-    pub(crate) fn new(inner: TcpAcceptor, connections: usize) -> Self {
+    /// Limits an acceptor to `connections` open connections (at least 1). It closes once
+    /// `closing` is true, and then sets `closed`.
+    pub(crate) fn new(
+        inner: TcpAcceptor,
+        connections: usize,
+        closing: watch::Receiver<bool>,
+        closed: watch::Sender<bool>,
+    ) -> Self {
         let slots = connections.clamp(1, Semaphore::MAX_PERMITS);
-        Self { inner, slots: Arc::new(Semaphore::new(slots)) }
+        let slots = Arc::new(Semaphore::new(slots));
+        Self { inner, slots, closing, closed, last_accepted: Instant::now() }
+    }
+}
+
+/// Resolves [`LAST_REQUEST_TIME`] after the listener was told to close and accepted its last
+/// connection.
+async fn quiet_since(mut closing: watch::Receiver<bool>, last_accepted: Instant) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        return std::future::pending().await;
     }
+    sleep_until(last_accepted.max(Instant::now()) + LAST_REQUEST_TIME).await;
 }
 
 impl Acceptor for LimitedAcceptor {
@@ -35,8 +64,21 @@
     async fn accept(
         &mut self,
     ) -> io::Result<(LimitedStream, LocalAddr, RemoteAddr, http::uri::Scheme)> {
-        let slot = self.slots.clone().acquire_owned().await.map_err(io::Error::other)?;
-        let (stream, local, remote, scheme) = self.inner.accept().await?;
+        let accept = async {
+            let slot = self.slots.clone().acquire_owned().await.map_err(io::Error::other)?;
+            Ok::<_, io::Error>((slot, self.inner.accept().await?))
+        };
+        let accepted = tokio::select! {
+            // When the second branch is polled, the queue is empty or the limit is reached.
+            biased;
+            accepted = accept => accepted?,
+            () = quiet_since(self.closing.clone(), self.last_accepted) => {
+                self.closed.send_replace(true);
+                std::future::pending().await
+            }
+        };
+        let (slot, (stream, local, remote, scheme)) = accepted;
+        self.last_accepted = Instant::now();
         // Streamed tokens are small writes, which Nagle's algorithm would delay.
         stream.set_nodelay(true)?;
         Ok((LimitedStream { stream, _slot: slot }, local, remote, scheme))
--- a/src/node_tasks.rs
+++ b/src/node_tasks.rs
@@ -1,11 +1,10 @@
 //! Starts the tasks of a node, runs them and shuts them down gracefully.
 
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use poem::listener::{Acceptor, TcpAcceptor};
+use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -107,6 +106,7 @@
     // Connections are closed after this idle time; no request takes longer.
     let idle = (shell.limits().request_timeout + shell.limits().body_timeout).to_std();
     let (_admin_close, admin_open) = watch::channel(false);
+    let admin_open = (admin_open, watch::Sender::new(false));
     let admin = AdminApi::new(shell.clone());
     let mut tasks = vec![
         tokio::spawn(shell.open_links().listen(listeners.peers)),
@@ -124,19 +124,20 @@
     let limits = *shell.limits();
     let max_connections = usize::try_from(limits.max_connections).unwrap_or(usize::MAX);
     let (close, closing) = watch::channel(false);
+    let (closed, callers_closed) = watch::channel(false);
     let gateway = tokio::spawn(serve_http(
         listeners.callers,
         Gateway::new(shell.clone()),
         max_connections,
         idle,
-        closing,
+        (closing, closed),
     ));
     let mut drain = shell.drain_requested.subscribe();
     tokio::select! {
         () = stop => {}
         _ = drain.wait_for(|stop| *stop) => {}
     }
-    shutdown(&shell, close, gateway, limits.request_timeout).await;
+    shutdown(&shell, (close, callers_closed), gateway, limits.request_timeout).await;
     let _ = flush.send(true);
     let _ = recorder.await;
     for task in tasks.drain(..) {
@@ -148,7 +149,7 @@
 /// Shuts a node down without interrupting requests.
 async fn shutdown<P: Ports>(
     shell: &Arc<Shell<P>>,
-    close: watch::Sender<bool>,
+    (close, mut closed): (watch::Sender<bool>, watch::Receiver<bool>),
     gateway: JoinHandle<()>,
     max_request: Ms,
 ) {
@@ -156,6 +157,9 @@
     shell.start_drain();
     sleep(DRAIN_NOTICE).await;
     let _ = close.send(true);
+    if timeout(max_request.to_std(), closed.wait_for(|closed| *closed)).await.is_err() {
+        log::warn!("callers still connect after the maximum request time");
+    }
     wait_until(max_request.to_std(), || shell.running_requests.load(Ordering::Acquire) == 0).await;
     shell.with_core(|core, now, out| core.release(now, out));
     wait_until(RELEASE_TIMEOUT, || shell.core.lock().unwrap().authority.released()).await;
@@ -218,30 +222,28 @@
     }
 }
 
-/// Serves HTTP until `closing` becomes true and open connections are finished.
+/// Serves HTTP until the listener has closed, which `closing` asks for and `closed` shows, and
+/// open connections are finished.
 async fn serve_http<E>(
     listener: TcpListener,
     app: E,
     connections: usize,
     idle: Duration,
-    mut closing: watch::Receiver<bool>,
+    (closing, closed): (watch::Receiver<bool>, watch::Sender<bool>),
 ) where
     E: poem::Endpoint<Output = poem::Response> + 'static,
 {
-    let acceptor = match limit_connections(listener, connections) {
-        Ok(acceptor) => acceptor,
+    let mut ends = closed.subscribe();
+    let acceptor = match TcpAcceptor::from_tokio(listener) {
+        Ok(acceptor) => LimitedAcceptor::new(acceptor, connections, closing, closed),
         Err(e) => return log::error!("listener failed: {e}"),
     };
     let stop = async move {
-        let _ = closing.wait_for(|closing| *closing).await;
+        // Cannot fail: the acceptor holds the sender.
+        let _ = ends.wait_for(|closed| *closed).await;
     };
     let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(idle);
     if let Err(e) = server.run_with_graceful_shutdown(app, stop, None).await {
         log::error!("HTTP server ended: {e}");
     }
 }
-
-fn limit_connections(listener: TcpListener, connections: usize) -> io::Result<impl Acceptor> {
-    let acceptor = TcpAcceptor::from_tokio(listener)?;
-    Ok(LimitedAcceptor::new(acceptor, connections))
-}
--- a/tests/faults_nodes.rs
+++ b/tests/faults_nodes.rs
@@ -9,7 +9,13 @@
 use futures_util::future::join_all;
 use http::Method;
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+use standin::caller::read_answer;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time for which a draining node accepts callers.
+const DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
 /// Whether a status shows every endpoint healthy and owned by a node other than `gone`.
 fn taken_over(status: &Value, gone: &str) -> bool {
@@ -161,3 +167,53 @@
 async fn drained_node_cuts_no_request() {
     shut_down_under_load(true).await;
 }
+
+/// A completion request of the first team, encoded for a kept connection.
+fn completion_request() -> Vec<u8> {
+    let body = json!({"model": adapter(0, 2), "prompt": "x", "max_tokens": 4}).to_string();
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer {}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        deployment::KEYS[0],
+        body.len()
+    )
+    .into_bytes()
+}
+
+// Guards against a shutdown that closes connections on which requests have arrived: the node is
+// delayed, so that it finds them together with the end of the time in which it accepts callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_arrive_as_a_delayed_node_shuts_down_are_answered() {
+    let mut d = Deployment::start(2, 2).await;
+    let request = completion_request();
+    let (node, process) = (&d.nodes[0], d.nodes[0].process.as_ref().unwrap());
+    let mut kept = Vec::new();
+    for _ in 0..20 {
+        let mut caller = TcpStream::connect(node.callers).await.unwrap();
+        caller.write_all(&request).await.unwrap();
+        assert_eq!(read_answer(&mut caller).await.map(|a| a.status), Some(200));
+        kept.push(caller);
+    }
+    process.signal("TERM");
+    let stopped = Instant::now();
+    sleep_until(stopped + DRAIN_NOTICE - Duration::from_millis(300)).await;
+    process.signal("STOP");
+    let mut callers = kept;
+    for _ in 0..30 {
+        callers.push(TcpStream::connect(node.callers).await.unwrap());
+    }
+    for caller in &mut callers {
+        caller.write_all(&request).await.unwrap();
+    }
+    sleep_until(stopped + DRAIN_NOTICE + Duration::from_millis(600)).await;
+    process.signal("CONT");
+    let mut codes = Vec::new();
+    for caller in &mut callers {
+        codes.push(read_answer(caller).await.map(|a| a.status));
+    }
+    assert!(codes.iter().all(|code| *code == Some(200)), "{codes:?}");
+    drop(callers);
+    let mut process = d.nodes[0].process.take().unwrap();
+    assert_eq!(process.wait_exit().await, Some(0));
+    d.check_records().await;
+}
