Tell callers to leave the connections of a draining node of the role serve

Seen by callers that keep using an open connection: a request written while the node closes its idle connections got no answer.

Cause: a draining node answered as always until it closed its connections, so callers did not know that theirs were about to end.

Change: answers of a draining node have the header Connection: close.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -213,6 +213,10 @@
             }
         };
         response.headers_mut().insert(X_REQUEST_ID, header_value(&id.to_string()));
+        if self.shell.is_draining() {
+            // The caller's next request on this connection could meet its end.
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         Ok(response)
     }
 }
--- a/tests/faults_nodes.rs
+++ b/tests/faults_nodes.rs
@@ -180,6 +180,37 @@
     .into_bytes()
 }
 
+// Guards against a shutdown that closes connections in use without notice.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_on_open_connections_are_told_to_leave_a_draining_node() {
+    let mut d = Deployment::start(2, 2).await;
+    let to = d.nodes[0].callers;
+    // Sends requests until an answer says that the connection closes; the answers' codes.
+    let caller = move || async move {
+        let mut stream = TcpStream::connect(to).await.unwrap();
+        let mut codes = Vec::new();
+        loop {
+            stream.write_all(&completion_request()).await.unwrap();
+            let answer = read_answer(&mut stream).await;
+            codes.push(answer.as_ref().map(|a| a.status));
+            let Some(answer) = answer else { return codes };
+            if answer.headers.get("connection").is_some_and(|c| c == "close") {
+                return codes;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let callers: Vec<_> = (0..16).map(|_| tokio::spawn(caller())).collect();
+    sleep(Duration::from_secs(1)).await;
+    let mut process = d.nodes[0].process.take().unwrap();
+    process.signal("TERM");
+    assert_eq!(process.wait_exit().await, Some(0));
+    for caller in callers {
+        let codes = caller.await.unwrap();
+        assert!(codes.iter().all(|code| *code == Some(200)), "{codes:?}");
+    }
+}
+
 // Guards against a shutdown that closes connections on which requests have arrived: the node is
 // delayed, so that it finds them together with the end of the time in which it accepts callers.
 #[tokio::test(flavor = "multi_thread")]
