--- a/src/quarantine_store.rs
+++ b/src/quarantine_store.rs
@@ -3,6 +3,9 @@
 //! Each quarantined feature has a row. A node that starts reads them; a node that adds an entry
 //! writes its row unless another node has. Operators lift an entry by removing its row, which
 //! nodes notice within [`READ_INTERVAL`].
+//!
+//! Rows hold no time of day, since a node whose clock is wrong would lift entries for all others.
+//! An entry expires [`DEFAULT_EXPIRY`] after a node first saw its row, on that node's clock.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -16,7 +19,7 @@
 use crate::platform::store::{Change, Outcome, Row};
 use crate::quarantine_list::{DEFAULT_EXPIRY, QuarantineEntry};
 use crate::store_calls::{Dependency, commit, log_unreadable, read_all};
-use crate::time::{BootClock, Clock, Ms, wall_clock};
+use crate::time::{BootClock, Clock, Ms};
 
 /// Table of the quarantined features.
 const TABLE: &str = "quarantine";
@@ -29,15 +32,12 @@
 #[derive(Serialize, Deserialize)]
 struct RowValue {
     reason: String,
-    /// Time of day at which the entry expires, in ms since the Unix epoch.
-    until: u64,
 }
 
-fn decode(row: &Row, now: Ms) -> Result<QuarantineEntry> {
-    let fingerprint = u64::from_str_radix(&row.key, 16).map_err(|e| Error::input(TABLE, e))?;
-    let value: RowValue = serde_json::from_slice(&row.value).map_err(|e| Error::input(TABLE, e))?;
-    let left = Ms(value.until).since(wall_clock()).min(DEFAULT_EXPIRY);
-    Ok(QuarantineEntry { fingerprint, reason: value.reason, expiry: now + left })
+fn decode(row: &Row) -> Result<(u64, RowValue)> {
+    let feature = u64::from_str_radix(&row.key, 16).map_err(|e| Error::input(TABLE, e))?;
+    let value = serde_json::from_slice(&row.value).map_err(|e| Error::input(TABLE, e))?;
+    Ok((feature, value))
 }
 
 fn key_of(feature: u64) -> String {
@@ -45,8 +45,7 @@
 }
 
 async fn write_row(edge: &Edge, entry: &QuarantineEntry) -> Result<()> {
-    let until = wall_clock().0 + entry.expiry.since(BootClock.now()).0;
-    let value = RowValue { reason: entry.reason.clone(), until };
+    let value = RowValue { reason: entry.reason.clone() };
     let value = serde_json::to_vec(&value).map_err(|e| Error::input(TABLE, e))?;
     let key = key_of(entry.fingerprint);
     let change = Change { table: TABLE, key: &key, expected: Some(0), value: Some(&value) };
@@ -70,20 +69,25 @@
     let mut outdated = Vec::new();
     let known: Set<u64> = watch.entries(now).iter().map(|e| e.fingerprint).collect();
     for row in &rows.rows {
-        match decode(row, now) {
-            Ok(entry) => {
-                let feature = entry.fingerprint;
-                // An entry that was lifted or has expired here since the row was read.
-                let lifted = stored.borrow().contains(&feature) && !known.contains(&feature);
-                if lifted || entry.expiry <= now {
-                    outdated.push(feature);
-                } else {
-                    found.insert(feature);
-                    watch.merge(edge, now, entry, "store");
-                }
+        let (feature, value) = match decode(row) {
+            Ok(decoded) => decoded,
+            Err(e) => {
+                log_unreadable(row, &e);
+                continue;
             }
-            Err(e) => log_unreadable(row, &e),
+        };
+        found.insert(feature);
+        if known.contains(&feature) {
+            continue;
+        }
+        if stored.borrow().contains(&feature) {
+            // The entry was lifted or has expired here since the row was read.
+            outdated.push(feature);
+            continue;
         }
+        let expiry = now + DEFAULT_EXPIRY;
+        let entry = QuarantineEntry { fingerprint: feature, reason: value.reason, expiry };
+        watch.merge(edge, now, entry, "store");
     }
     let before = stored.replace(found);
     for feature in before.iter().filter(|f| !stored.borrow().contains(*f)) {
--- a/tests/edge_crashes.rs
+++ b/tests/edge_crashes.rs
@@ -308,6 +308,44 @@
     supervisor.abort();
 }
 
+/// Whether a call with this body is refused because its features crash endpoints.
+async fn is_quarantined(front: std::net::SocketAddr, attempt: &str, body: &str) -> bool {
+    let mut request = CallerRequest::new("POST /enter/1", attempt);
+    request.body = body;
+    exchange(front, &request.bytes()).await.is_some_and(|a| a.body == "quarantined")
+}
+
+/// Sends calls that crash endpoints until they are refused.
+async fn crash_until_quarantined(front: std::net::SocketAddr) {
+    for n in 0..80 {
+        if is_quarantined(front, &format!("k{n}"), "fatal").await {
+            return;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the call is not quarantined");
+}
+
+// A node whose time of day is wrong must not lift what others have found.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn quarantine_does_not_depend_on_the_time_of_day() {
+    let rows = Arc::new(RowStore::start().await.unwrap());
+    store_with_document(&rows);
+    let (_ledger, supervisor) = CrashingService::start(&rows, "ledger", 3, "fatal").await;
+    let first = Node::start("crash-clock", rows.server.address).await;
+    crash_until_quarantined(first.addresses.frontend).await;
+    wait_until("the row is written", || async { rows.keys("quarantine").len() == 1 }).await;
+    drop(first);
+    // The row as a node writes it whose clock is a day behind.
+    let key = rows.keys("quarantine").pop().expect("a row");
+    rows.put("quarantine", &key, &json!({"reason": "3 crashes", "until": 1_000}));
+    let second = Node::start("crash-clock-2", rows.server.address).await;
+    sleep(STABLE_AFTER).await;
+    assert!(is_quarantined(second.addresses.frontend, "c1", "fatal").await);
+    assert_eq!(rows.keys("quarantine"), [key]);
+    supervisor.abort();
+}
+
 // What crashes endpoints must not run again because the nodes that knew of it are gone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cause_of_crashes_stays_refused_after_all_nodes_were_killed() {
