Let no node without the store restore a quarantine that was lifted

Found by review: operators lift a quarantine by removing its row. A node that was cut off from the store went on telling its peers of the entry; they ignored it for 10 s after the lift, then took it over and wrote the row again, so requests were refused for another hour. Class: something withdrawn comes back from a holder that does not know of it.

Change: a node remembers when it lifted a feature and takes over no entry from a peer that began earlier. Datagrams already tell the time left, from which the beginning follows.

lifted_quarantine_is_not_restored_by_a_node_without_the_store failed before (the row was back after 16 s) and passes.

--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -66,6 +66,9 @@
 pub(crate) struct CrashWatch {
     evidence: RefCell<CrashEvidence>,
     quarantine: RefCell<QuarantineList>,
+    /// When features were last lifted. An entry that began before must not come back from a peer
+    /// that has not learned of the lift.
+    lifts: RefCell<Map<u64, Ms>>,
     /// Broken requests by endpoint, until it is known whether the endpoint crashed.
     broken: RefCell<Map<Rc<str>, BrokenRequests>>,
     /// Processes that crashed, with the time at which this was learned.
@@ -149,6 +152,10 @@
 
     /// Removes a feature from the quarantine.
     pub(crate) fn lift(&self, now: Ms, feature: u64, why: &str) {
+        let mut lifts = self.lifts.borrow_mut();
+        lifts.retain(|_, at| now.since(*at) < DEFAULT_EXPIRY);
+        lifts.insert(feature, now);
+        drop(lifts);
         if self.quarantine.borrow_mut().lift(now, feature) {
             decision!("quarantine_lifted", "feature": hex(feature), "evidence": why);
             self.list_changed.notify_one();
@@ -285,7 +292,11 @@
             self.evidence.borrow_mut().on_peer_completed(at(c.age), c.feature);
         }
         for q in &datagram.quarantined {
-            let expiry = now + Ms(q.left).min(DEFAULT_EXPIRY);
+            let left = Ms(q.left).min(DEFAULT_EXPIRY);
+            let (age, expiry) = (DEFAULT_EXPIRY.since(left), now + left);
+            if self.lifts.borrow().get(&q.feature).is_some_and(|at| now.since(*at) <= age) {
+                continue;
+            }
             let entry =
                 QuarantineEntry { fingerprint: q.feature, reason: q.reason.clone(), expiry };
             self.merge(edge, now, entry, from);
--- a/tests/edge_crashes.rs
+++ b/tests/edge_crashes.rs
@@ -8,7 +8,7 @@
 use standin::caller::{CallerRequest, KEY, exchange, wait_until};
 use standin::endpoint_instance::{EndpointFault, Instance};
 use standin::node::Node;
-use standin::proxy::Proxy;
+use standin::proxy::{Mode, Proxy};
 use standin::row_store::RowStore;
 use standin::test_setup::document;
 use tokio::task::JoinHandle;
@@ -16,6 +16,10 @@
 
 /// Time from the crash of an endpoint to its return as an empty instance.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// Time within which a node reads the quarantine, with room for the call itself.
+const QUARANTINE_READ_INTERVAL: Duration = Duration::from_secs(6);
+/// Time for which a node that learned of a lift ignores what its peers say.
+const LIFT_REMEMBERED: Duration = Duration::from_secs(10);
 /// Time between crashes of endpoints that lose power in turn.
 const CRASH_INTERVAL: Duration = Duration::from_millis(100);
 /// `StableMs` of the platform: time after a crash from which its rules apply.
@@ -346,6 +350,38 @@
     supervisor.abort();
 }
 
+// Operators lift a quarantine while a node that knows of it does not reach the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lifted_quarantine_is_not_restored_by_a_node_without_the_store() {
+    let rows = Arc::new(RowStore::start().await.unwrap());
+    store_with_document(&rows);
+    let (_ledger, supervisor) = CrashingService::start(&rows, "ledger", 3, "fatal").await;
+    let proxy = Proxy::start(rows.server.address).await.unwrap();
+    let nodes = [
+        Node::start("crash-lift-1", rows.server.address).await,
+        Node::start("crash-lift-2", proxy.address).await,
+    ];
+    let fronts = [nodes[0].addresses.frontend, nodes[1].addresses.frontend];
+    crash_until_quarantined(fronts[0]).await;
+    wait_until("both nodes know of it", || async {
+        is_quarantined(fronts[1], "l1", "fatal").await && rows.keys("quarantine").len() == 1
+    })
+    .await;
+    sleep(QUARANTINE_READ_INTERVAL).await;
+    proxy.set_mode(Mode::Silent);
+    let key = rows.keys("quarantine").pop().expect("a row");
+    rows.remove("quarantine", &key);
+    sleep(QUARANTINE_READ_INTERVAL + LIFT_REMEMBERED).await;
+    assert_eq!(rows.keys("quarantine"), [""; 0]);
+    proxy.set_mode(Mode::Pass);
+    wait_until("the other node lifts it", || async {
+        !is_quarantined(fronts[1], "m1", "fatal").await
+    })
+    .await;
+    assert!(!is_quarantined(fronts[0], "m0", "fatal").await);
+    supervisor.abort();
+}
+
 // What crashes endpoints must not run again because the nodes that knew of it are gone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cause_of_crashes_stays_refused_after_all_nodes_were_killed() {
