Cut off callers of the role edge that stop reading

Here a stream is cut at the request's deadline, but only when it is polled, and nothing polls a stream whose caller has stopped reading. It held its endpoint, and a complete answer its memory, for as long as the caller kept the connection; 24 answers of 16 MB fill a node. Class: a deadline that only progress can enforce.

Change: a caller's connection on which sent data stays unread for the idle timeout of the configuration is closed by the kernel.

The stand-in counts endless answers that its caller ended.

--- a/src/edge_listeners.rs
+++ b/src/edge_listeners.rs
@@ -12,6 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -93,6 +94,11 @@
     let _guard = ConnectionGuard::new(&edge);
     let limits = edge.routing.borrow().limits;
     let idle_timeout = limits.map_or(DEFAULT_CALLER_IDLE, |l| l.idle_timeout);
+    // A caller that stops reading would hold its answer, or the endpoint that sends it, for good.
+    let unread_ms = u32::try_from(idle_timeout.0).unwrap_or(u32::MAX);
+    if let Err(e) = set_tcp_user_timeout(&stream, unread_ms) {
+        log::debug!("setting the timeout for unread answers failed: {e}");
+    }
     let head_bytes = limits.map_or(16 << 10, |l| l.head_bytes).max(8 << 10);
     let state = edge.clone();
     let service = service_fn(move |request| {
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -65,7 +65,7 @@
 #[derive(Default)]
 struct State {
     runs: Vec<Run>,
-    /// Number of streams whose caller closed the connection before their end.
+    /// Number of streams and endless answers whose caller closed the connection before their end.
     aborted: usize,
     orders: Vec<Value>,
     reports: Vec<u64>,
@@ -194,7 +194,7 @@
         lock(&self.state).runs.clone()
     }
 
-    /// Number of streams whose caller closed the connection before their end.
+    /// Number of streams and endless answers whose caller closed the connection before their end.
     pub fn aborted_runs(&self) -> usize {
         lock(&self.state).aborted
     }
@@ -405,7 +405,10 @@
 ) -> io::Result<bool> {
     let pause = lock(state).endless_pause;
     loop {
-        connection.write(piece).await?;
+        if connection.write(piece).await.is_err() {
+            lock(state).aborted += 1;
+            return Ok(false);
+        }
         if !pause.is_zero() {
             sleep(pause).await;
         }
--- a/tests/edge_endless.rs
+++ b/tests/edge_endless.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use standin::caller::{CallerRequest, exchange};
+use serde_json::json;
+use standin::caller::{CallerRequest, KEY, exchange, read_answer};
 use standin::endpoint_instance::EndpointFault;
 use standin::node::Node;
-use standin::test_setup::TestSetup;
+use standin::test_setup::{TestSetup, document};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -16,6 +17,8 @@
 const MEMORY_LIMIT: u64 = 390 << 20;
 /// `X-Deadline-Ms` of the callers' requests.
 const DEADLINE: Duration = Duration::from_secs(4);
+/// `IdleTimeoutMs` of the document.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after the deadline within which a request must have ended.
 const DEADLINE_SLACK: Duration = Duration::from_millis(500);
 
@@ -80,3 +83,26 @@
     assert!(ended.iter().all(|took| *took < limit), "{ended:?}");
     assert!(node.resident_bytes() < MEMORY_LIMIT);
 }
+
+// A caller that stops reading must hold neither an endpoint nor memory for good.
+#[tokio::test]
+async fn callers_that_stop_reading_are_cut_off() {
+    let world = TestSetup::start().await;
+    let mut config = document(4, &[KEY]);
+    config["Limits"]["IdleTimeoutMs"] = json!(IDLE_TIMEOUT.as_millis() as u64);
+    world.rows.put("op", "config", &config);
+    for e in &world.ledger {
+        e.set_padding(12 << 20);
+    }
+    world.assist.set_fault(EndpointFault::EndlessBody);
+    let node = Node::start("endless-caller", world.store_address()).await;
+    let front = node.addresses.frontend;
+    let mut streaming = TcpStream::connect(front).await.unwrap();
+    streaming.write_all(&CallerRequest::new("POST /ask/1", "r1").bytes()).await.unwrap();
+    let mut whole = TcpStream::connect(front).await.unwrap();
+    whole.write_all(&CallerRequest::new("POST /enter/1", "r2").bytes()).await.unwrap();
+    sleep(DEADLINE + IDLE_TIMEOUT * 2).await;
+    assert_eq!((world.assist.runs().len(), world.assist.aborted_runs()), (1, 1));
+    let answer = read_answer(&mut whole).await;
+    assert!(answer.is_none_or(|a| !a.whole), "the answer is still held");
+}
