--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -160,6 +160,7 @@
     check_stops(history, &mut findings);
     check_deadlines(history, &mut findings);
     check_fatal_part(history, &mut findings);
+    check_sound_requests(history, &mut findings);
     findings.extend(history.exits.iter().map(|e| format!("exit: {e}")));
     findings
 }
@@ -298,6 +299,19 @@
     }
 }
 
+/// Checks that requests without the part that crashes engines are not refused for it.
+fn check_sound_requests(history: &History, findings: &mut Vec<String>) {
+    let refused = |s: &&Sent| s.answer.as_ref().is_some_and(|a| a.body == "quarantined");
+    let sound = history.sent.iter().filter(|s| s.kind != Kind::Fatal).filter(refused);
+    let count = sound.clone().count();
+    if let Some(first) = sound.min_by_key(|s| s.started) {
+        let (attempt, kind, at) = (&first.attempt, first.kind, first.started - history.begun());
+        findings.push(format!(
+            "sound: {count} sound requests were quarantined, {attempt} {kind:?} first, at {at:.1?}"
+        ));
+    }
+}
+
 /// Checks that few requests with the part that crashes engines run once it must be known.
 fn check_fatal_part(history: &History, findings: &mut Vec<String>) {
     let Some(fifth) = history.fatal_crashes.get(CRASHES_UNTIL_KNOWN - 1) else { return };
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -158,3 +158,13 @@
     assert_eq!(plan(2, 20_000, Size::default()), plan(2, 20_000, Size::default()));
     assert_ne!(plan(2, 20_000, Size::default()), plan(3, 20_000, Size::default()));
 }
+
+#[test]
+fn sound_requests_that_are_quarantined_are_found() {
+    let now = Instant::now();
+    let refused = |kind| sent(kind, now, answer(503, "quarantined"));
+    let mut history = History { sent: vec![refused(Kind::Fatal)], ..History::default() };
+    assert!(words(&history).is_empty());
+    history.sent.push(refused(Kind::Stream));
+    assert_eq!(words(&history), ["sound"]);
+}
