Look at the sockets before a stopping node closes them

The nodes' logs show the end of the process right after it continued, with no connection counted and no request read.

Cause: whether a connection is left to accept was judged by what the runtime knew, and after a delay of the process its timers fire before it has looked at its sockets. Besides, an accepted connection was counted only once its task ran, so a node could end between the two.

Change: when its time is over, a node waits 20 ms more in which what has arrived is found, in both roles, and a connection is counted when it is accepted.

--- a/src/connection_limit.rs
+++ b/src/connection_limit.rs
@@ -11,12 +11,15 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time that a caller has for a request on a connection to a listener that closes. What arrived
 /// while the process was delayed is read within it.
 const LAST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
+/// Time in which the runtime finds what has arrived at its sockets.
+const SOCKET_CHECK_TIME: Duration = Duration::from_millis(20);
+
 /// Acceptor with a limit on open connections; further ones wait in the listen backlog.
 ///
 /// When it is told to close, it goes on until no established connection is left to accept and
@@ -52,6 +55,8 @@
         return std::future::pending().await;
     }
     sleep_until(last_accepted.max(Instant::now()) + LAST_REQUEST_TIME).await;
+    // After a delay of the process, the timer can fire before the runtime has looked at sockets.
+    sleep(SOCKET_CHECK_TIME).await;
 }
 
 impl Acceptor for LimitedAcceptor {
--- a/src/edge_listeners.rs
+++ b/src/edge_listeners.rs
@@ -31,6 +31,10 @@
 /// Time that a caller has for its first request on a connection to a stopping node.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
+/// Time in which the runtime finds what has arrived at its sockets. After a delay of the process,
+/// timers can fire before it has looked.
+const SOCKET_CHECK_TIME: Duration = Duration::from_millis(20);
+
 /// Binds a TCP listener.
 ///
 /// # Errors
@@ -86,12 +90,13 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("setting TCP_NODELAY for a caller failed: {e}");
         }
-        tokio::task::spawn_local(serve_caller(edge.clone(), stream));
+        // Counted from here on, so that the node does not end before the task has begun.
+        let guard = ConnectionGuard::new(&edge);
+        tokio::task::spawn_local(serve_caller(edge.clone(), stream, guard));
     }
 }
 
-async fn serve_caller(edge: Rc<Edge>, stream: TcpStream) {
-    let _guard = ConnectionGuard::new(&edge);
+async fn serve_caller(edge: Rc<Edge>, stream: TcpStream, _guard: ConnectionGuard) {
     let limits = edge.routing.borrow().limits;
     let idle_timeout = limits.map_or(DEFAULT_CALLER_IDLE, |l| l.idle_timeout);
     // A caller that stops reading would hold its answer, or the endpoint that sends it, for good.
@@ -127,7 +132,7 @@
 }
 
 /// Resolves when the node has been stopping for [`ACCEPT_AFTER_STOP`], but not within `least`
-/// from now.
+/// from now, and not before the runtime has looked at the sockets again.
 fn accept_period_over(edge: &Rc<Edge>, least: Duration) -> impl Future<Output = ()> + use<> {
     let (edge, earliest) = (edge.clone(), Instant::now() + least);
     async move {
@@ -136,6 +141,7 @@
         let _ = stopping.wait_for(|s| *s).await;
         let stopped_at = edge.stopped_at.get().unwrap_or_else(Instant::now);
         sleep_until(earliest.max(stopped_at + ACCEPT_AFTER_STOP)).await;
+        sleep(SOCKET_CHECK_TIME).await;
     }
 }
 
