Read and log the rate limit that an endpoint states

The log could not tell whether a node knows an endpoint's limit when it sends to it. endpoint_limit is logged when the limit changes, and the step chose shows the limit. No decision uses it yet.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -217,6 +217,18 @@
         self.versions.borrow().get(adapter).map(|(v, _)| *v)
     }
 
+    /// Records the rate limit that an endpoint states in an answer that arrived at `heard`;
+    /// `source` is the node to which it came.
+    pub(crate) fn record_limit(&self, id: &str, heard: Ms, rate: Option<f64>, source: &str) {
+        let mut table = self.table.borrow_mut();
+        let Some(e) = table.get_mut(id) else { return };
+        let before = e.stated_limit.and_then(|l| l.rate);
+        if e.record_limit(heard, rate) {
+            decision!("endpoint_limit", "endpoint": id, "per_s": rate, "before": before,
+                "source": source);
+        }
+    }
+
     /// Marks an endpoint as leaving because of `why`, which is not its entry, unless its entry
     /// is newer than this news of the given version.
     pub(crate) fn mark_leaving(&self, id: &Rc<str>, why: &str, version: u64) {
--- a/src/endpoint_table.rs
+++ b/src/endpoint_table.rs
@@ -95,6 +95,15 @@
     Silent,
 }
 
+/// What an endpoint's answers state about its rate limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StatedLimit {
+    /// Requests per second from all nodes together; `None` if the endpoint has ended its limit.
+    pub rate: Option<f64>,
+    /// Arrival of the newest answer that this is known from.
+    pub heard: Ms,
+}
+
 /// State of one endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -130,6 +139,8 @@
     pub paused_until: Ms,
     /// Whether the endpoint was found to be gone or leaving by evidence other than its entry.
     pub gone: bool,
+    /// Rate limit that the endpoint states; `None` if it has never stated one.
+    pub stated_limit: Option<StatedLimit>,
 }
 
 impl EndpointState {
@@ -152,7 +163,19 @@
             failures: 0,
             paused_until: Ms(0),
             gone: false,
+            stated_limit: None,
+        }
+    }
+
+    /// Records the rate limit stated by an answer that arrived at `heard`; `None` if it states
+    /// none. Returns whether the limit has changed.
+    pub fn record_limit(&mut self, heard: Ms, rate: Option<f64>) -> bool {
+        let old = self.stated_limit;
+        if old.map_or(rate.is_none(), |known| heard < known.heard) {
+            return false;
         }
+        self.stated_limit = Some(StatedLimit { rate, heard });
+        old.and_then(|known| known.rate) != rate
     }
 
     /// Sum of the load from all nodes.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -19,6 +19,7 @@
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 const INSTANCE: HeaderName = HeaderName::from_static("x-instance-id");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -205,6 +206,8 @@
     pub closes: bool,
     /// Time for which the endpoint keeps an idle connection, if stated.
     pub idle_timeout: Option<Ms>,
+    /// Requests per second that the endpoint accepts from all nodes together, if stated.
+    pub rate_limit: Option<f64>,
 }
 
 /// Decodes the status and headers of an endpoint's answer.
@@ -215,6 +218,7 @@
         let seconds = v.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
         seconds.parse::<u64>().ok().map(Ms::secs)
     });
+    let limit = header_text(map, &RATE_LIMIT).and_then(|v| v.trim().parse::<f64>().ok());
     ResponseHeaders {
         attempt: header_text(map, &ATTEMPT).map(str::to_owned),
         sealed: map.contains_key(&SEAL),
@@ -223,6 +227,7 @@
         instance: header_text(map, &INSTANCE).map(str::to_owned),
         closes,
         idle_timeout: idle,
+        rate_limit: limit.filter(|l| l.is_finite() && *l >= 0.0),
     }
 }
 
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -404,8 +404,10 @@
         ));
         return Err(Refusal::unavailable("overload", after));
     }
+    let limit = edge.table.borrow().get(&choice.id).and_then(|e| e.stated_limit?.rate);
+    let limit = limit.map_or(String::new(), |l| format!(" limit={l}"));
     log.add_step(format!(
-        "chose {} wait={:.0} load={}",
+        "chose {} wait={:.0} load={}{limit}",
         choice.id, choice.wait_ms, choice.needs_load
     ));
     Ok(choice)
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -129,6 +129,10 @@
     let full = map(&[("x-not-executed", "1")]);
     assert!(headers::parse_response(StatusCode::SERVICE_UNAVAILABLE, &full).not_run);
     assert!(!headers::parse_response(StatusCode::SERVICE_UNAVAILABLE, &HeaderMap::new()).not_run);
+    let limits = ["2.2", " 5 ", "0", "-1", "inf", "fast"];
+    let limits = limits
+        .map(|l| headers::parse_response(StatusCode::OK, &map(&[("server-limit", l)])).rate_limit);
+    assert_eq!(limits, [Some(2.2), Some(5.0), Some(0.0), None, None, None]);
 }
 
 fn config() -> serde_json::Value {
