--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -84,6 +84,10 @@
     refusals: usize,
     /// Prompt part or body that crashes the endpoint.
     crash_trigger: Option<String>,
+    /// Requests per second that the endpoint states as its limit in each answer.
+    stated_limit: Option<f64>,
+    /// When each request arrived, whether or not it was run.
+    arrivals: Vec<Instant>,
 }
 
 /// A running endpoint.
@@ -179,6 +183,12 @@
         lock(&self.state).refusals = count;
     }
 
+    /// States a limit of this many requests per second in all following answers, or none.
+    /// Requests beyond the limit are served all the same.
+    pub fn state_limit(&self, per_s: Option<f64>) {
+        lock(&self.state).stated_limit = per_s;
+    }
+
     /// Crashes the endpoint: its listener and its connections close.
     pub fn crash(&self) {
         self.switch.crash();
@@ -194,6 +204,11 @@
         lock(&self.state).runs.clone()
     }
 
+    /// When each request arrived, whether or not it was run.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.state).arrivals.clone()
+    }
+
     /// Number of streams and endless answers whose caller closed the connection before their end.
     pub fn aborted_runs(&self) -> usize {
         lock(&self.state).aborted
@@ -315,7 +330,12 @@
 ) -> io::Result<bool> {
     let Host { id, is_engine, .. } = host;
     let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
-    let own = format!("X-Instance-Id: {id}\r\nX-Attempt-Id: {attempt}\r\n");
+    let limit = {
+        let mut state = lock(state);
+        state.arrivals.push(Instant::now());
+        state.stated_limit.map_or(String::new(), |l| format!("Server-Limit: {l}\r\n"))
+    };
+    let own = format!("X-Instance-Id: {id}\r\nX-Attempt-Id: {attempt}\r\n{limit}");
     if request.header("x-expect-instance").is_some_and(|i| i != id.as_str()) {
         connection.write_answer(421, &own, b"").await?;
         return Ok(true);
@@ -347,7 +367,7 @@
         at: Instant::now(),
     });
     let named = if fault == EndpointFault::Foreign { "ffff" } else { &attempt };
-    let head = format!("X-Attempt-Id: {named}\r\nX-Server-Seal: seal.{id}.{attempt}\r\n");
+    let head = format!("X-Attempt-Id: {named}\r\nX-Server-Seal: seal.{id}.{attempt}\r\n{limit}");
     if crashes {
         if *is_engine {
             let start = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n");
