Make the limits of teams usable for limits of other kinds

The token bucket that nodes share by beats now takes its rate from a trait, so that one mechanism can serve the limits of teams and those of endpoints. No change of behaviour: tests/team_limits.rs passes with renamed types.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -1,7 +1,7 @@
 //! State of an edge node on the platform, and the tasks that update it.
 //!
 //! All tasks run on one thread. The modules `endpoint_choice`, `admission`,
-//! `team_limits`, `resend_budget`, `endpoint_holders` and `order_planner` decide without
+//! `shared_limits`, `resend_budget`, `endpoint_holders` and `order_planner` decide without
 //! I/O; this module owns their tables and spawns the tasks that feed them.
 
 use std::cell::{Cell, RefCell};
@@ -30,7 +30,7 @@
 use crate::platform::settings;
 use crate::resend_budget::ResendBudget;
 use crate::routing::Routing;
-use crate::team_limits::{NodeCounts, TeamLimits};
+use crate::shared_limits::{NodeCounts, SharedLimits};
 use crate::time::{BootClock, Clock, Ms, wall_clock};
 use crate::{edge_listeners, mesh, order_executor, quarantine_store, store_watcher};
 
@@ -106,7 +106,7 @@
     /// Encoded entries of the endpoints, served to peers.
     pub(crate) entries: RefCell<Map<Rc<str>, EncodedEntry>>,
     pub(crate) table: RefCell<EndpointTable>,
-    pub(crate) team_limits: RefCell<TeamLimits>,
+    pub(crate) team_limits: RefCell<SharedLimits>,
     pub(crate) resends: RefCell<ResendBudget>,
     pub(crate) holders: RefCell<EndpointHolders>,
     pub(crate) held: RefCell<Map<Rc<str>, HeldEndpoint>>,
@@ -198,7 +198,7 @@
         let (mut nodes, mut heard) = (1, 1);
         for node in holders.counted_nodes(now).filter(|n| *n.name != *self.deployment.node) {
             nodes += 1;
-            let recent = |p: &Peer| now.since(p.last_beat) < crate::team_limits::SILENT_AFTER;
+            let recent = |p: &Peer| now.since(p.last_beat) < crate::shared_limits::SILENT_AFTER;
             heard += usize::from(peers.get(&node.name).is_some_and(recent));
         }
         NodeCounts { nodes, heard }
@@ -208,7 +208,7 @@
     pub(crate) fn has_unlisted_peers(&self, now: Ms) -> bool {
         let holders = self.holders.borrow();
         let peers = self.peers.borrow();
-        let recent = |p: &Peer| now.since(p.last_beat) < crate::team_limits::SILENT_AFTER;
+        let recent = |p: &Peer| now.since(p.last_beat) < crate::shared_limits::SILENT_AFTER;
         peers.iter().any(|(name, p)| recent(p) && !holders.has_node(name))
     }
 
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -18,7 +18,7 @@
 use crate::ids::{Map, stable_hash};
 use crate::log_sink::decision;
 use crate::order_planner::AdapterDemand;
-use crate::team_limits::{BEAT_INTERVAL, SILENT_AFTER, TeamUsage};
+use crate::shared_limits::{BEAT_INTERVAL, LimitUsage, SILENT_AFTER};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Largest datagram received.
@@ -298,7 +298,7 @@
             counts,
             (name, start),
             &spent.team,
-            TeamUsage { tokens: spent.tokens, demand_rate: spent.asked },
+            LimitUsage { tokens: spent.tokens, demand_rate: spent.asked },
         );
     }
     {
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -28,7 +28,7 @@
 };
 use crate::response_body::{InFlightGuard, ResponseBody};
 use crate::routing::{Route, Routing, Team};
-use crate::team_limits::NodeCounts;
+use crate::shared_limits::NodeCounts;
 use crate::time::{BootClock, Clock, Ms};
 
 /// Time limit of a request if neither the request nor its route states one.
@@ -141,7 +141,7 @@
     log.cost = cost;
     if let Some(team) = &team {
         let counts = edge.node_counts(begun);
-        if let Err(after) = edge.team_limits.borrow_mut().admit(begun, team, cost, counts) {
+        if let Err(after) = edge.team_limits.borrow_mut().admit(begun, &**team, cost, counts) {
             let NodeCounts { nodes, heard } = counts;
             log.add_step(format!("over_rate cost={cost} heard={heard}/{nodes} after={after}"));
             let status = StatusCode::TOO_MANY_REQUESTS;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -7,6 +7,7 @@
 
 use crate::failpoint::{Failpoint, active};
 use crate::ids::Map;
+use crate::shared_limits::{Limit, Limited};
 use crate::time::Ms;
 
 /// Kind of requests on a route, which determines whether they may be sent again.
@@ -71,6 +72,8 @@
     pub max_gap: Ms,
 }
 
+/// Smallest burst of a team, in seconds of its rate.
+const MIN_BURST_S: f64 = 0.1;
 /// Shortest time without an event after which callers close a stream.
 const ABANDON_MIN_MS: u64 = 2_000;
 /// Callers close a stream after this many times the latency objective.
@@ -155,6 +158,17 @@
     pub unsized_cost: f64,
 }
 
+impl Limited for Team {
+    fn name(&self) -> &Rc<str> {
+        &self.name
+    }
+
+    fn limit(&self) -> Option<Limit> {
+        let burst = self.burst.max(self.rate * MIN_BURST_S);
+        (self.rate > 0.0).then_some(Limit { rate: self.rate, burst })
+    }
+}
+
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallerLimits {
--- a/src/team_limits.rs
+++ b/src/shared_limits.rs
@@ -1,6 +1,6 @@
-//! Rate limits of teams over all edge nodes.
+//! Rate limits that hold over all edge nodes: those of teams, in tokens.
 //!
-//! Each node keeps a token bucket for the whole team. It subtracts its own admissions at
+//! Each node keeps a token bucket for the whole limit. It subtracts its own admissions at
 //! once and those of its peers when their beats report them. Between two beats a peer is
 //! assumed to spend at its reported demand, so that nodes do not spend the same tokens. If
 //! nothing is left under this assumption, a node still admits its own part of the rate,
@@ -8,13 +8,12 @@
 //!
 //! The admissions of silent peers are unknown, so the bucket then refills only with the
 //! fraction of nodes that are heard. Retry times of refused callers are spread out. The
-//! limits therefore hold when a team sends several times its rate to all nodes, also during
-//! a network partition. Nodes of a cell use [`crate::quota`] instead.
+//! limits therefore hold under several times their rate at all nodes, also during a network
+//! partition. Nodes of a cell use [`crate::quota`] instead.
 
 use std::rc::Rc;
 
 use crate::ids::Map;
-use crate::routing::Team;
 use crate::time::Ms;
 
 /// Fraction of the burst that a node starts with, before it has heard from its peers.
@@ -33,7 +32,7 @@
 /// Time constant of the exponential average of the demand; two intervals of beats.
 const DEMAND_WINDOW: Ms = Ms(2 * BEAT_INTERVAL.0);
 /// Largest debt beyond the burst, in seconds of the rate. A larger debt, built up during a
-/// network partition, would block the team for too long after it.
+/// network partition, would block all callers for too long after it.
 const OVERDRAFT_S: f64 = 2.0;
 
 /// Number of nodes that the limits are divided among; both counts include this node.
@@ -55,6 +54,24 @@
     }
 }
 
+/// A rate limit that all nodes share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Tokens per second over all nodes.
+    pub rate: f64,
+    /// Tokens that may be admitted at once after a pause.
+    pub burst: f64,
+}
+
+/// What a limit applies to.
+pub trait Limited {
+    /// Name, unique among all that a [`SharedLimits`] holds.
+    fn name(&self) -> &Rc<str>;
+
+    /// The limit in force; `None` if there is none.
+    fn limit(&self) -> Option<Limit>;
+}
+
 /// Tokens per second that callers ask for, whether admitted or not.
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
@@ -72,9 +89,9 @@
     }
 }
 
-/// A team's admissions and demand at one node, as reported in its beats.
+/// Admissions and demand under one limit at one node, as reported in its beats.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct TeamUsage {
+pub struct LimitUsage {
     /// Tokens admitted since the start of the node's process.
     pub tokens: u64,
     /// Tokens per second that callers ask for, whether admitted or not.
@@ -86,13 +103,13 @@
 struct PeerReport {
     /// Start of the peer's process.
     start: u64,
-    usage: TeamUsage,
+    usage: LimitUsage,
     at: Ms,
 }
 
-/// The limit of one team.
+/// Token bucket of one limit.
 #[derive(Clone, Debug)]
-struct TeamBucket {
+struct Bucket {
     rate: f64,
     burst: f64,
     level: f64,
@@ -113,11 +130,11 @@
     peers: Map<Rc<str>, PeerReport>,
 }
 
-impl TeamBucket {
-    fn new(now: Ms, team: &Team) -> Self {
-        let burst = burst(team);
+impl Bucket {
+    fn new(now: Ms, limited: &impl Limited) -> Self {
+        let Limit { rate, burst } = limited.limit().unwrap_or(Limit { rate: 0.0, burst: 0.0 });
         Self {
-            rate: team.rate,
+            rate,
             burst,
             level: burst * INITIAL_LEVEL,
             own_level: 0.0,
@@ -140,6 +157,10 @@
         self.at = now;
     }
 
+    fn usage(&self, now: Ms) -> LimitUsage {
+        LimitUsage { tokens: self.spent, demand_rate: self.demand.rate(now) as u32 }
+    }
+
     fn heard_peers(&self, now: Ms) -> impl Iterator<Item = &PeerReport> {
         self.peers.values().filter(move |p| now.since(p.at) < SILENT_AFTER)
     }
@@ -195,36 +216,41 @@
     }
 }
 
-/// Tokens that a full bucket holds.
-fn burst(team: &Team) -> f64 {
-    team.burst.max(team.rate * 0.1)
-}
-
-/// Rate limits of all teams.
+/// Rate limits of the same kind, by name.
 #[derive(Clone, Debug, Default)]
-pub struct TeamLimits {
-    buckets: Map<Rc<str>, TeamBucket>,
+pub struct SharedLimits {
+    buckets: Map<Rc<str>, Bucket>,
 }
 
-impl TeamLimits {
-    /// Adds teams, so that admissions of peers are counted before the first request of a team
-    /// reaches this node.
-    pub fn add_teams<'a>(&mut self, now: Ms, teams: impl Iterator<Item = &'a Team>) {
-        for team in teams {
-            self.buckets.entry(team.name.clone()).or_insert_with(|| TeamBucket::new(now, team));
+impl SharedLimits {
+    /// Adds limits, so that admissions of peers are counted before the first request under a
+    /// limit reaches this node.
+    pub fn add<'a, L: Limited + 'a>(&mut self, now: Ms, limited: impl Iterator<Item = &'a L>) {
+        for l in limited {
+            self.bucket(now, l);
         }
     }
 
-    /// Admits a request by taking `cost` from the team's bucket.
+    fn bucket(&mut self, now: Ms, limited: &impl Limited) -> &mut Bucket {
+        let entry = self.buckets.entry(limited.name().clone());
+        entry.or_insert_with(|| Bucket::new(now, limited))
+    }
+
+    /// Admits a request by taking `cost` from the bucket.
     ///
     /// # Errors
     /// The time after which a refused caller may retry.
-    pub fn admit(&mut self, now: Ms, team: &Team, cost: f64, counts: NodeCounts) -> Result<(), Ms> {
-        let bucket =
-            self.buckets.entry(team.name.clone()).or_insert_with(|| TeamBucket::new(now, team));
-        if team.rate > 0.0 {
-            bucket.rate = team.rate;
-            bucket.burst = burst(team);
+    pub fn admit(
+        &mut self,
+        now: Ms,
+        limited: &impl Limited,
+        cost: f64,
+        counts: NodeCounts,
+    ) -> Result<(), Ms> {
+        let bucket = self.bucket(now, limited);
+        if let Some(limit) = limited.limit() {
+            bucket.rate = limit.rate;
+            bucket.burst = limit.burst;
             bucket.demand.add(now, cost);
             if let Err(missing) = bucket.try_take(now, cost, counts) {
                 return Err(bucket.retry_after(now, missing, cost, counts));
@@ -235,8 +261,8 @@
     }
 
     /// Returns the cost of a request that did not run.
-    pub fn refund(&mut self, team: &str, cost: f64) {
-        if let Some(bucket) = self.buckets.get_mut(team) {
+    pub fn refund(&mut self, name: &str, cost: f64) {
+        if let Some(bucket) = self.buckets.get_mut(name) {
             bucket.level = (bucket.level + cost).min(bucket.burst);
             bucket.spent = bucket.spent.saturating_sub(cost as u64);
         }
@@ -250,10 +276,10 @@
         now: Ms,
         counts: NodeCounts,
         (peer, start): (&Rc<str>, u64),
-        team: &str,
-        usage: TeamUsage,
+        name: &str,
+        usage: LimitUsage,
     ) {
-        let Some(bucket) = self.buckets.get_mut(team) else { return };
+        let Some(bucket) = self.buckets.get_mut(name) else { return };
         // Earlier gains are capped at the burst before the peer's tokens are subtracted.
         bucket.refill(now, counts);
         let next = PeerReport { start, usage, at: now };
@@ -271,10 +297,8 @@
         bucket.level = (bucket.level - new + regained).clamp(least, bucket.burst);
     }
 
-    /// Tokens admitted and demanded at this node, by team.
-    pub fn usage(&self, now: Ms) -> impl Iterator<Item = (&Rc<str>, TeamUsage)> {
-        self.buckets.iter().map(move |(team, bucket)| {
-            (team, TeamUsage { tokens: bucket.spent, demand_rate: bucket.demand.rate(now) as u32 })
-        })
+    /// Tokens admitted and demanded at this node, by name.
+    pub fn usage(&self, now: Ms) -> impl Iterator<Item = (&Rc<str>, LimitUsage)> {
+        self.buckets.iter().map(move |(name, bucket)| (name, bucket.usage(now)))
     }
 }
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -148,7 +148,7 @@
     decision!("configuration_in_force", "version": routing.version, "before": current.version,
         "source": source, "teams": team_rates(&routing));
     let teams = routing.teams().iter().map(|t| &**t);
-    edge.team_limits.borrow_mut().add_teams(BootClock.now(), teams);
+    edge.team_limits.borrow_mut().add(BootClock.now(), teams);
     edge.metrics.serial(routing.version);
     edge.document.replace(bytes);
     edge.routing.replace(Rc::new(routing));
--- a/tests/team_limits.rs
+++ b/tests/team_limits.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use sycamorefork::routing::Team;
-use sycamorefork::team_limits::{BEAT_INTERVAL, NodeCounts, SILENT_AFTER, TeamLimits, TeamUsage};
+use sycamorefork::shared_limits::{
+    BEAT_INTERVAL, LimitUsage, NodeCounts, SILENT_AFTER, SharedLimits,
+};
 use sycamorefork::time::Ms;
 
 /// Two nodes that hear each other.
@@ -17,7 +19,7 @@
 
 /// Tokens that nodes admit between two instants in ms, at a demand of `demand` tokens per second
 /// at each. Each node hears as many of five nodes as `heard` states.
-fn admitted(nodes: &mut [TeamLimits], heard: &[usize], from: u64, to: u64, demand: f64) -> f64 {
+fn admitted(nodes: &mut [SharedLimits], heard: &[usize], from: u64, to: u64, demand: f64) -> f64 {
     let team = team(100_000.0, 100_000.0);
     let mut sum = 0.0;
     for ms in (from..to).step_by(10) {
@@ -37,7 +39,7 @@
 // so without correction each would admit the whole burst.
 #[test]
 fn partitioned_groups_admit_one_burst_in_total() {
-    let mut groups = [TeamLimits::default(), TeamLimits::default(), TeamLimits::default()];
+    let mut groups = [SharedLimits::default(), SharedLimits::default(), SharedLimits::default()];
     admitted(&mut groups, &[5, 5, 5], 1_000, 6_000, 1_000.0);
     let heard = [3, 1, 1];
     let sum = admitted(&mut groups, &heard, 6_000, 14_000, 400_000.0);
@@ -49,7 +51,7 @@
 // A team that keeps to its rate must not be refused.
 #[test]
 fn team_within_its_rate_is_not_refused_after_the_start() {
-    let mut one = [TeamLimits::default()];
+    let mut one = [SharedLimits::default()];
     admitted(&mut one, &[5], 0, 1_000, 80_000.0);
     let sum = admitted(&mut one, &[5], 1_000, 9_000, 80_000.0);
     assert!((sum - 640_000.0).abs() < 1.0, "{sum}");
@@ -59,12 +61,12 @@
 #[test]
 fn repeated_beats_are_subtracted_once() {
     let team = team(1_000.0, 10_000.0);
-    let mut limits = TeamLimits::default();
+    let mut limits = SharedLimits::default();
     let peer: Rc<str> = Rc::from("edge-2");
     limits.admit(Ms(0), &team, 1.0, BOTH).unwrap();
     limits.admit(Ms(20_000), &team, 1.0, BOTH).unwrap();
     for tokens in [500, 5_500, 5_500] {
-        let spent = TeamUsage { tokens, demand_rate: 0 };
+        let spent = LimitUsage { tokens, demand_rate: 0 };
         limits.on_beat(Ms(20_000), BOTH, (&peer, 7), "studio", spent);
     }
     assert!(limits.admit(Ms(20_000), &team, 4_900.0, BOTH).is_ok());
@@ -77,12 +79,12 @@
 #[test]
 fn first_request_at_a_node_counts_tokens_spent_at_peers() {
     let team = team(10_000.0, 100_000.0);
-    let (mut first, mut second) = (TeamLimits::default(), TeamLimits::default());
+    let (mut first, mut second) = (SharedLimits::default(), SharedLimits::default());
     let peer: Rc<str> = Rc::from("edge-1");
     for limits in [&mut first, &mut second] {
-        limits.add_teams(Ms(0), std::iter::once(&team));
+        limits.add(Ms(0), std::iter::once(&team));
     }
-    second.on_beat(Ms(0), BOTH, (&peer, 7), "studio", TeamUsage::default());
+    second.on_beat(Ms(0), BOTH, (&peer, 7), "studio", LimitUsage::default());
     while first.admit(Ms(60_000), &team, 1_000.0, BOTH).is_ok() {}
     let (_, spent) = first.usage(Ms(60_000)).next().unwrap();
     second.on_beat(Ms(60_000), BOTH, (&peer, 7), "studio", spent);
@@ -91,7 +93,7 @@
 
 /// Simulated nodes that report their admissions to each other in beats.
 struct Fleet {
-    nodes: Vec<TeamLimits>,
+    nodes: Vec<SharedLimits>,
     names: Vec<Rc<str>>,
     /// Instant of the last beat, by receiver and sender.
     last_beats: Vec<Vec<Ms>>,
@@ -108,9 +110,9 @@
     const GIVE_UP_AFTER: usize = 500;
 
     fn new(n: usize, team: &Team) -> Self {
-        let mut nodes = vec![TeamLimits::default(); n];
+        let mut nodes = vec![SharedLimits::default(); n];
         for node in &mut nodes {
-            node.add_teams(Ms(0), std::iter::once(team));
+            node.add(Ms(0), std::iter::once(team));
         }
         let names = (0..n).map(|i| Rc::from(format!("edge-{i}"))).collect();
         let last_beats = vec![vec![Ms(0); n]; n];
@@ -196,15 +198,15 @@
 fn beats_of_idle_peers_do_not_stop_own_admissions() {
     let team = team(10_000.0, 10_000.0);
     let counts = NodeCounts { nodes: 11, heard: 11 };
-    let mut limits = TeamLimits::default();
-    limits.add_teams(Ms(0), std::iter::once(&team));
+    let mut limits = SharedLimits::default();
+    limits.add(Ms(0), std::iter::once(&team));
     let peers: Vec<Rc<str>> = (0..10).map(|n| Rc::from(format!("edge-{n}"))).collect();
     let mut admitted = 0.0;
     for ms in (0..20_000).step_by(20) {
         let now = Ms(ms);
         // Each peer reports a high demand and admits nothing.
         let peer = &peers[(ms / 20 % 10) as usize];
-        let spent = TeamUsage { tokens: 0, demand_rate: 20_000 };
+        let spent = LimitUsage { tokens: 0, demand_rate: 20_000 };
         limits.on_beat(now, counts, (peer, 7), "studio", spent);
         if limits.admit(Ms(ms + 10), &team, 200.0, counts).is_ok() {
             admitted += 200.0;
