--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -67,7 +67,7 @@
     runs: Vec<Run>,
     /// Number of streams and endless answers whose caller closed the connection before their end.
     aborted: usize,
-    orders: Vec<Value>,
+    orders: Vec<(Instant, Value)>,
     reports: Vec<u64>,
     loaded: Vec<String>,
     sequence: u64,
@@ -221,6 +221,11 @@
 
     /// Orders received so far, including refused ones.
     pub fn orders(&self) -> Vec<Value> {
+        self.timed_orders().into_iter().map(|(_, order)| order).collect()
+    }
+
+    /// Orders received so far, including refused ones, with the time of each.
+    pub fn timed_orders(&self) -> Vec<(Instant, Value)> {
         lock(&self.state).orders.clone()
     }
 }
@@ -293,7 +298,7 @@
 fn apply_order(state: &Mutex<State>, request: &Request) -> u16 {
     let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let mut state = lock(state);
-    state.orders.push(order.clone());
+    state.orders.push((Instant::now(), order.clone()));
     let Some(adapter) = order["Adapter"].as_str() else {
         if state.model.as_deref() == order["Model"].as_str() {
             return 200;
--- a/standin/src/row_store.rs
+++ b/standin/src/row_store.rs
@@ -26,12 +26,24 @@
     LosesAnswers,
 }
 
-#[derive(Default)]
+/// Rows and history of a store at one moment.
+#[derive(Clone, Default)]
+pub struct Copy {
+    rows: BTreeMap<(String, String), (String, u64)>,
+    changes: Vec<(u64, String, String)>,
+    version: u64,
+}
+
+/// Tables whose rows others write than the nodes; they are written again after a restore.
+const FOREIGN_TABLES: [&str; 2] = ["op", "servers"];
+
 struct State {
     rows: BTreeMap<(String, String), (String, u64)>,
     changes: Vec<(u64, String, String)>,
     version: u64,
     oldest: u64,
+    /// Number of the store's history; rises when the store is restored from a copy.
+    era: u64,
     fault: RowStoreFault,
     calls: u64,
 }
@@ -48,6 +60,20 @@
     state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            changes: Vec::new(),
+            version: 0,
+            oldest: 0,
+            era: 1,
+            fault: RowStoreFault::None,
+            calls: 0,
+        }
+    }
+}
+
 impl State {
     /// Sets or removes a row and appends to the change history.
     fn set_row(&mut self, table: &str, key: &str, value: Option<String>) {
@@ -148,6 +174,37 @@
         state.changes.clear();
     }
 
+    /// A copy of the store as it is now.
+    pub fn copy(&self) -> Copy {
+        let state = lock(&self.state);
+        let (rows, changes, version) = (state.rows.clone(), state.changes.clone(), state.version);
+        Copy { rows, changes, version }
+    }
+
+    /// Restores the store from a copy in a new era. What the operators and the endpoints wrote
+    /// since is written again, so versions of the lost writes are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = lock(&self.state);
+        let lost = std::mem::take(&mut state.rows);
+        state.rows = copy.rows;
+        state.changes = copy.changes;
+        state.version = copy.version;
+        state.era += 1;
+        for ((table, key), (value, _)) in &lost {
+            let known = state.rows.get(&(table.clone(), key.clone())).map(|(v, _)| v);
+            if FOREIGN_TABLES.contains(&table.as_str()) && known != Some(value) {
+                state.version += 1;
+                state.set_row(table, key, Some(value.clone()));
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Newest version that the store has given out in its present era.
+    pub fn version(&self) -> u64 {
+        lock(&self.state).version
+    }
+
     /// Sets the fault of all following calls.
     pub fn set_fault(&self, fault: RowStoreFault) {
         lock(&self.state).fault = fault;
@@ -177,15 +234,18 @@
             state.calls += 1;
             state.fault
         };
+        let era = |state: &Mutex<State>| format!("Store-Era: {}\r\n", lock(state).era);
         match fault {
-            RowStoreFault::Refuses(status) => connection.write_answer(status, "", b"").await?,
+            RowStoreFault::Refuses(status) => {
+                connection.write_answer(status, &era(&state), b"").await?;
+            }
             RowStoreFault::Silent => sleep(Duration::from_secs(600)).await,
             RowStoreFault::None | RowStoreFault::LosesAnswers => {
                 let (status, body) = run_call(&state, &changed, &request).await;
                 if fault == RowStoreFault::LosesAnswers && request.method == "POST" {
                     sleep(Duration::from_secs(600)).await;
                 }
-                connection.write_answer(status, "", body.to_string().as_bytes()).await?;
+                connection.write_answer(status, &era(&state), body.to_string().as_bytes()).await?;
             }
         }
     }
@@ -206,7 +266,7 @@
                     let notified = changed.notified();
                     let found = {
                         let state = lock(state);
-                        if after < state.oldest {
+                        if after < state.oldest || after > state.version {
                             return (410, json!({}));
                         }
                         state.changes_after(&table, after)
