Qualify versions of rows by the era of the store

A store that is restored from an older copy gives out versions again. Nodes went on with a feed after a version of the former era and missed what was written before it came round again: a route was in force on no node (404 five seconds after the return). Fences fell, since they are versions of rows, and news of a leaving endpoint looked older than its entry.

Cause: versions of rows were taken to rise for good. The adapter now qualifies each version that it decodes by the era of the answer, so that all comparisons, fences and messages between nodes hold over eras, and strips the era where it writes versions. A new era, seen in any answer or told by a peer, makes all followers read their tables again. Writes that expect a version of a former era are not sent, and answers of a former era are dropped. Entries of the copy count as written in the former era, so that they don't undo departures.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -131,6 +131,10 @@
     /// Crashes of endpoints and the requests that cause them.
     pub(crate) crash_watch: CrashWatch,
     pub(crate) socket: UdpSocket,
+    /// Newest era of the store that is known; `None` before its first answer.
+    pub(crate) store_era: Cell<Option<u64>>,
+    /// Wakes those that follow the store's tables when the store has been restored.
+    pub(crate) era_changed: Notify,
     /// Instant of the last failed call to the store; 0 if none has failed.
     pub(crate) store_failure: Cell<Ms>,
     /// Whether the endpoints' entries have been read at least once.
@@ -176,6 +180,8 @@
             control_client: HttpClient::new(client_settings),
             crash_watch: CrashWatch::default(),
             socket,
+            store_era: Cell::new(None),
+            era_changed: Notify::new(),
             store_failure: Cell::new(Ms(0)),
             entries_read: Cell::new(false),
             stopping: watch::Sender::new(false),
@@ -216,6 +222,22 @@
         peers.iter().any(|(name, p)| recent(p) && !holders.has_node(name))
     }
 
+    /// Takes note of the store's era. A new one means that the store was restored from a copy:
+    /// rows of the last seconds are gone or back, and all tables have to be read again.
+    pub(crate) fn observe_era(&self, era: u64, source: &str) {
+        let before = self.store_era.get();
+        if before.is_some_and(|known| era <= known) {
+            return;
+        }
+        self.store_era.set(Some(era));
+        decision!("store_era", "era": era, "before": before, "source": source);
+        if before.is_some() {
+            // Entries may be missing as they are after an outage.
+            self.store_failure.set(BootClock.now());
+            self.era_changed.notify_waiters();
+        }
+    }
+
     /// Version of an adapter that new requests must use.
     pub(crate) fn adapter_version(&self, adapter: &str) -> Option<u64> {
         self.versions.borrow().get(adapter).map(|(v, _)| *v)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -107,6 +107,7 @@
 mod response_body;
 mod retry;
 pub mod routing;
+pub mod row_version;
 pub mod s3;
 pub mod sample_engine;
 mod sample_record;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -177,6 +177,7 @@
         draining: *edge.stopping.borrow(),
         leaving_versions,
         limited: stated_limits(edge, now),
+        store_era: edge.store_era.get(),
     }
 }
 
@@ -337,6 +338,10 @@
     if old.is_none_or(|p| p.start != start) {
         decision!("peer_joined", "peer": &**name, "start": start, "config": beat.config);
     }
+    // A node that has not read from the store yet learns its era from there.
+    if let Some(era) = beat.store_era.filter(|_| edge.store_era.get().is_some()) {
+        edge.observe_era(era, name);
+    }
     let counts = edge.node_counts(now);
     for spent in &beat.spent {
         let mut limits = edge.team_limits.borrow_mut();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,15 +6,17 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
 use crate::http_client::percent_encode;
+use crate::row_version;
 
 /// Name of the source in errors.
 const SOURCE: &str = "store";
+const ERA: HeaderName = HeaderName::from_static("store-era");
 
 /// A row of a table.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,7 +27,7 @@
     pub key: String,
     /// Value; empty if the row was removed.
     pub value: Vec<u8>,
-    /// Version, from one counter for the whole store.
+    /// Version, from one counter for the whole store, qualified by the store's era.
     pub version: u64,
     /// Whether the row was removed.
     pub removed: bool,
@@ -36,7 +38,7 @@
 pub struct Rows {
     /// The rows.
     pub rows: Vec<Row>,
-    /// Newest version that the answer covers.
+    /// Newest version that the answer covers, qualified by the store's era.
     pub version: u64,
     /// Whether further rows follow.
     pub more: bool,
@@ -60,7 +62,7 @@
     pub table: &'a str,
     /// Key within the table.
     pub key: &'a str,
-    /// Version that the row must have: 0 if it must not exist, any if `None`.
+    /// Qualified version that the row must have: 0 if it must not exist, any if `None`.
     pub expected: Option<u64>,
     /// New value; `None` removes the row.
     pub value: Option<&'a [u8]>,
@@ -73,7 +75,7 @@
     pub table: &'a str,
     /// Key within the table.
     pub key: &'a str,
-    /// Version that the row must have; 0 if it must not exist.
+    /// Qualified version that the row must have; 0 if it must not exist.
     pub version: u64,
 }
 
@@ -166,10 +168,8 @@
 /// # Errors
 /// The names are too long for a request path.
 pub fn feed_request(table: &str, after: u64, wait_ms: u64) -> Result<Request<Full<Bytes>>> {
-    get_request(format!(
-        "/rows-feed?Table={}&after={after}&WaitMs={wait_ms}",
-        percent_encode(table, "")
-    ))
+    let (table, after) = (percent_encode(table, ""), row_version::plain(after));
+    get_request(format!("/rows-feed?Table={table}&after={after}&WaitMs={wait_ms}"))
 }
 
 /// Builds the request for a transaction over rows without a partition.
@@ -179,12 +179,12 @@
 ) -> Request<Full<Bytes>> {
     let mut tx = WireTx { expected: Vec::new(), put: Vec::new(), remove: Vec::new() };
     for c in conditions {
-        let (table, key, part, ver) = (c.table, c.key, "", c.version);
+        let (table, key, part, ver) = (c.table, c.key, "", row_version::plain(c.version));
         tx.expected.push(WireExpected { table, part, key, ver });
     }
     for c in changes {
         let (table, key, part) = (c.table, c.key, "");
-        if let Some(ver) = c.expected {
+        if let Some(ver) = c.expected.map(row_version::plain) {
             tx.expected.push(WireExpected { table, part, key, ver });
         }
         match c.value {
@@ -220,23 +220,30 @@
     STANDARD.encode(value)
 }
 
-fn decode_row(wire: WireRow) -> Row {
+fn decode_row(era: u64, wire: WireRow) -> Row {
     // A value that is not base64 is kept unchanged; it fails to decode where it is read.
     let value = wire.value.unwrap_or_default();
     let value = STANDARD.decode(&value).unwrap_or_else(|_| value.into_bytes());
-    Row { table: wire.table, key: wire.key, value, version: wire.ver, removed: wire.removed }
+    let version = row_version::qualify(era, wire.ver);
+    Row { table: wire.table, key: wire.key, value, version, removed: wire.removed }
 }
 
-/// Decodes an answer that contains rows.
+/// The era of the store that gave an answer; it rises when the store is restored from a copy.
+pub fn era(headers: &HeaderMap) -> u64 {
+    let text = headers.get(ERA).and_then(|v| v.to_str().ok());
+    text.and_then(|t| t.trim().parse().ok()).unwrap_or(0)
+}
+
+/// Decodes an answer of a store in the given era that contains rows.
 ///
 /// # Errors
 /// The status is unexpected, or the body is not valid.
-pub fn decode_rows(status: StatusCode, body: &[u8]) -> Result<Outcome<Rows>> {
+pub fn decode_rows(era: u64, status: StatusCode, body: &[u8]) -> Result<Outcome<Rows>> {
     decode_outcome(status, body, |bytes| {
         let wire: WireRows =
             serde_json::from_slice(bytes).map_err(|e| Error::platform(SOURCE, e))?;
-        let rows = wire.rows.into_iter().map(decode_row).collect();
-        Ok(Rows { rows, version: wire.ver, more: wire.has_more })
+        let rows = wire.rows.into_iter().map(|row| decode_row(era, row)).collect();
+        Ok(Rows { rows, version: row_version::qualify(era, wire.ver), more: wire.has_more })
     })
 }
 
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -14,6 +14,7 @@
 use crate::http_client::FullResponse;
 use crate::log_sink::decision;
 use crate::platform::store::{self, Change, Condition, Outcome, Row, Rows};
+use crate::row_version;
 use crate::time::{BootClock, Clock, Ms};
 
 /// Time limit of a call, on top of the wait that it asks the store for.
@@ -64,7 +65,13 @@
 async fn call_store(edge: &Edge, request: Request<Full<Bytes>>, wait: Ms) -> Result<FullResponse> {
     let deadline = Instant::now() + CALL_TIMEOUT + wait.to_std();
     let answer = edge.control_client.fetch(edge.deployment.store, request, deadline).await;
-    answer.map_err(|e| Error::io("store", e))
+    let answer = answer.map_err(|e| Error::io("store", e))?;
+    let era = store::era(&answer.headers);
+    if edge.store_era.get().is_some_and(|known| era < known) {
+        return Err(Error::platform("store", format!("late answer of the former era {era}")));
+    }
+    edge.observe_era(era, "store");
+    Ok(answer)
 }
 
 /// Reads all rows of a table, with the version from which its feed continues.
@@ -74,7 +81,8 @@
     loop {
         let request = store::rows_request(table, &from)?;
         let answer = call_store(edge, request, Ms(0)).await?;
-        let page = match store::decode_rows(answer.status, &answer.body)? {
+        let era = store::era(&answer.headers);
+        let page = match store::decode_rows(era, answer.status, &answer.body)? {
             Outcome::Done(page) => page,
             other => return Ok(other),
         };
@@ -82,6 +90,7 @@
         from = page.rows.last().map_or(String::new(), |r| format!("{}\u{1}", r.key));
         let more = page.more && !page.rows.is_empty();
         match &mut all {
+            Some(rows) if row_version::era(rows.version) != era => return Ok(Outcome::Refused),
             // Later pages may be newer; the feed continues from the first page's version.
             Some(rows) => rows.rows.extend(page.rows),
             None => all = Some(page),
@@ -95,15 +104,22 @@
 pub(crate) async fn read_feed(edge: &Edge, table: &str, after: u64) -> Result<Outcome<Rows>> {
     let request = store::feed_request(table, after, FEED_WAIT.0)?;
     let answer = call_store(edge, request, FEED_WAIT).await?;
-    store::decode_rows(answer.status, &answer.body)
+    store::decode_rows(store::era(&answer.headers), answer.status, &answer.body)
 }
 
-/// Commits changes if the conditions hold.
+/// Commits changes if the conditions hold. Versions of a former era hold no more, even if the
+/// store has given them out again.
 pub(crate) async fn commit(
     edge: &Edge,
     changes: &[Change<'_>],
     conditions: &[Condition<'_>],
 ) -> Result<Outcome<u64>> {
+    let expected = changes.iter().filter_map(|c| c.expected);
+    let mut versions = expected.chain(conditions.iter().map(|c| c.version)).filter(|v| *v > 0);
+    let era = edge.store_era.get().unwrap_or(0);
+    if versions.any(|v| row_version::era(v) != era) {
+        return Ok(Outcome::Refused);
+    }
     let request = store::commit_request(changes, conditions);
     let answer = call_store(edge, request, Ms(0)).await?;
     store::decode_commit(answer.status, &answer.body)
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -31,6 +31,7 @@
 use crate::mesh;
 use crate::platform::store::{Change, Condition, Outcome, Row, Rows};
 use crate::platform::{document, entry};
+use crate::row_version;
 use crate::store_calls::{CALL_TIMEOUT, Dependency, commit, log_unreadable, read_all, read_feed};
 use crate::time::{BootClock, Clock, Ms};
 
@@ -72,31 +73,60 @@
     start: u64,
 }
 
-/// Follows a table: calls `adopt` with all of its rows (`true`) or with the changed ones
-/// (`false`), then waits for `pause`.
+/// What an answer that [`follow_table`] passes on contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    /// All rows of the table.
+    All,
+    /// All rows, read because the store was restored after the given era.
+    Restored(u64),
+    /// The changed rows.
+    Changes,
+}
+
+/// Follows a table: calls `adopt` with all of its rows or with the changed ones, then waits for
+/// `pause`. After a restore of the store, all rows are read again.
 async fn follow_table<F, Fut>(edge: &Edge, table: &'static str, pause: Duration, adopt: F)
 where
-    F: Fn(Rows, bool) -> Fut,
+    F: Fn(Rows, Scope) -> Fut,
     Fut: Future<Output = ()>,
 {
     let dependency = Dependency::new(table);
-    let mut after = None;
+    let (mut after, mut scope) = (None, Scope::All);
     loop {
-        let complete = after.is_none();
-        let answer = match after {
-            None => read_all(edge, table).await,
-            Some(version) => read_feed(edge, table, version).await,
+        let restored = edge.era_changed.notified();
+        if let Some(version) = after
+            && edge.store_era.get().is_some_and(|era| row_version::era(version) < era)
+        {
+            decision!("table_restored", "table": table, "after": row_version::plain(version));
+            (after, scope) = (None, Scope::Restored(row_version::era(version)));
+        }
+        let read = async {
+            match after {
+                None => read_all(edge, table).await,
+                Some(version) => read_feed(edge, table, version).await,
+            }
+        };
+        let answer = tokio::select! {
+            answer = read => answer,
+            () = restored => continue,
         };
         match answer {
             Ok(Outcome::Done(rows)) => {
                 dependency.on_success();
+                let era = row_version::era(rows.version);
+                if after.is_some_and(|version| row_version::era(version) != era) {
+                    continue;
+                }
                 after = Some(rows.version);
-                adopt(rows, complete).await;
+                adopt(rows, std::mem::replace(&mut scope, Scope::Changes)).await;
                 sleep(pause).await;
             }
             Ok(Outcome::Refused) => {
-                decision!("history_gone", "table": table, "after": after);
-                after = None;
+                decision!("history_gone", "table": table, "after": after.map(row_version::plain));
+                if after.take().is_some() {
+                    scope = Scope::All;
+                }
             }
             Ok(Outcome::Unavailable(status)) => {
                 dependency.on_failure(edge, &format!("status {status}")).await;
@@ -236,12 +266,16 @@
     let lapsed: RefCell<Map<Rc<str>, Ms>> = RefCell::default();
     let unreadable_keys: RefCell<Set<String>> = RefCell::default();
     let pause = edge.deployment.bounds.drain.to_std() / ENTRY_READS_PER_DRAIN;
-    follow_table(&edge, entry::TABLE, pause, |rows, complete| {
+    follow_table(&edge, entry::TABLE, pause, |rows, scope| {
         let Rows { rows, version, .. } = rows;
         let now = BootClock.now();
         let mut lapsed = lapsed.borrow_mut();
         let mut present: Set<Rc<str>> = Set::default();
-        for row in rows {
+        for mut row in rows {
+            if let Scope::Restored(former) = scope {
+                // An entry of the copy is older than a departure that the store has lost.
+                row.version = row_version::qualify(former, row.version);
+            }
             if row.removed {
                 lapsed.entry(Rc::from(row.key)).or_insert(now);
                 continue;
@@ -262,7 +296,7 @@
                 }
             }
         }
-        if complete {
+        if scope != Scope::Changes {
             let table = edge.table.borrow();
             for e in table.iter().filter(|e| !present.contains(&e.entry.id)) {
                 lapsed.entry(e.entry.id.clone()).or_insert(now);
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -244,11 +244,11 @@
     assert!(body.replace('\\', "").contains(r#""Key":"n-2","Ver":17"#), "{body}");
     let rows = json!({"Rows": [{"Table": "op", "part": "", "Key": "k", "Value": "eA==", "Ver": 3},
         {"Table": "op", "part": "", "Key": "gone", "Removed": true}], "Ver": 9, "NowMs": 1});
-    let rows = store::decode_rows(StatusCode::OK, rows.to_string().as_bytes()).unwrap();
+    let rows = store::decode_rows(0, StatusCode::OK, rows.to_string().as_bytes()).unwrap();
     let Outcome::Done(rows) = rows else { panic!("{rows:?}") };
     assert_eq!((rows.version, rows.rows[0].value.as_slice()), (9, b"x".as_slice()));
     assert!(rows.rows[1].removed);
-    let status = |n: u16| store::decode_rows(StatusCode::from_u16(n).unwrap(), b"");
+    let status = |n: u16| store::decode_rows(0, StatusCode::from_u16(n).unwrap(), b"");
     assert_eq!(status(410).unwrap(), Outcome::Refused);
     assert_eq!(status(503).unwrap(), Outcome::Unavailable(503));
     assert!(status(500).is_err());
