Let holders go on over a restore of the store, and others wait for their leases

After a restore of the store from an older copy, the rows by which a node holds endpoints may be gone, or name the holder before it. The node dropped its endpoints, and another one, or the restarted holder of before, could claim them at once while the first was still giving orders.

Holders now go on under the lease that they had and claim their endpoints again without a pause; a claim that the store does not confirm ends with that lease. All others claim nothing until every lease of the former era has lapsed; nodes that have started since learn by beats that the store was restored. The lease is renewed and all rows are read as soon as the era is seen.

endpoint_holders::holder_claims_endpoints_again_that_a_restore_lost, holder_that_a_restored_row_names_goes_on and restored_rows_allow_no_claim_before_former_leases_have_lapsed cover it; they need the new calls, so they were not run on the code before.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -133,6 +133,8 @@
     pub(crate) socket: UdpSocket,
     /// Newest era of the store that is known; `None` before its first answer.
     pub(crate) store_era: Cell<Option<u64>>,
+    /// When the store was last restored; `None` if that was not seen or told.
+    pub(crate) restored_at: Cell<Option<Ms>>,
     /// Wakes those that follow the store's tables when the store has been restored.
     pub(crate) era_changed: Notify,
     /// Instant of the last failed call to the store; 0 if none has failed.
@@ -181,6 +183,7 @@
             crash_watch: CrashWatch::default(),
             socket,
             store_era: Cell::new(None),
+            restored_at: Cell::new(None),
             era_changed: Notify::new(),
             store_failure: Cell::new(Ms(0)),
             entries_read: Cell::new(false),
@@ -233,8 +236,21 @@
         decision!("store_era", "era": era, "before": before, "source": source);
         if before.is_some() {
             // Entries may be missing as they are after an outage.
-            self.store_failure.set(BootClock.now());
+            let now = BootClock.now();
+            self.store_failure.set(now);
+            self.restored_at.set(Some(now));
+            self.holders.borrow_mut().on_restored(now, era);
             self.era_changed.notify_waiters();
+            self.endpoint_added.notify_one();
+        }
+    }
+
+    /// Takes note that a peer saw the store restored at `at`. A node that has started since has
+    /// not, and must not claim what others still hold by leases of the former era.
+    pub(crate) fn on_restore_told(&self, at: Ms) {
+        if self.restored_at.get().is_none() {
+            self.restored_at.set(Some(at));
+            self.holders.borrow_mut().delay_claims(at);
         }
     }
 
--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -9,12 +9,17 @@
 //! before its first order, because orders of two holders to one endpoint need that pause
 //! between them. A restarted node claims its own endpoints at once, because it is the same
 //! holder.
+//!
+//! When the store is restored from an older copy, rows of the last seconds are gone or back. A
+//! holder then goes on under its lease of the former era and writes its claims again. Nobody
+//! claims anything else until all leases of the former era have lapsed.
 
 use std::rc::Rc;
 
 use crate::endpoint_choice::rendezvous_first;
 use crate::failpoint::{Failpoint, active};
 use crate::ids::{Map, Set};
+use crate::row_version;
 use crate::time::Ms;
 
 /// Validity of a lease after a renewal; longer than most outages of the store.
@@ -114,6 +119,12 @@
     pauses: Map<Rc<str>, Ms>,
     /// Whether the rows of the nodes have been read.
     pub nodes_read: bool,
+    /// Era of the store since its last restore; 0 if none was seen.
+    era: u64,
+    /// End of this node's lease as it was when the store was restored.
+    former_lease_end: Ms,
+    /// Instant from which endpoints of other holders of the former era may be claimed.
+    claims_from: Ms,
 }
 
 impl EndpointHolders {
@@ -135,9 +146,33 @@
             unlisted: Map::default(),
             pauses: Map::default(),
             nodes_read: false,
+            era: 0,
+            former_lease_end: Ms(0),
+            claims_from: Ms(0),
         }
     }
 
+    /// Records that the store was restored from a copy at `began` and is in a new era.
+    pub fn on_restored(&mut self, began: Ms, era: u64) {
+        self.era = era;
+        self.former_lease_end = self.lease_end;
+        self.delay_claims(began);
+        // A claim of the former era may be lost.
+        self.pauses.clear();
+    }
+
+    /// Delays claims until leases have lapsed that were given before the store was restored at
+    /// `began`.
+    pub fn delay_claims(&mut self, began: Ms) {
+        self.claims_from = self.claims_from.max(began + LEASE_TTL + CLOCK_MARGIN);
+    }
+
+    /// Whether orders may be given under a claim, which may be one of the former era that the
+    /// restored store does not confirm.
+    fn is_claim_valid(&self, now: Ms, fence: u64) -> bool {
+        row_version::era(fence) >= self.era || now < self.former_lease_end
+    }
+
     /// Records that the store has acknowledged, at `acknowledged`, a renewal sent at `sent`.
     ///
     /// After a lapse other nodes may hold the endpoints of this node, so the holders must be
@@ -185,7 +220,17 @@
         let (name, start) = (self.name.clone(), self.start);
         let holders = &self.holders;
         let own = |h: &HolderRecord| h.node == name && h.start == start;
-        self.held.retain(|id, e| holders.get(id).is_some_and(|h| own(h) && h.fence == e.fence));
+        let (era, unconfirmed) = (self.era, now < self.former_lease_end);
+        self.held.retain(|id, e| {
+            let former = row_version::era(e.fence) < era;
+            match holders.get(id).filter(|h| own(h)) {
+                Some(h) if h.fence == e.fence || former => {
+                    e.fence = h.fence;
+                    true
+                }
+                _ => former && unconfirmed,
+            }
+        });
         for (id, h) in holders {
             // After a claim whose answer was lost, or a regained lease, no pause is recorded and
             // the full one applies.
@@ -225,7 +270,8 @@
     /// Fencing token of orders to an endpoint, if this node may give them now.
     pub fn fence(&self, now: Ms, endpoint: &str) -> Option<u64> {
         let held = self.held.get(endpoint)?;
-        let allowed = self.has_lease(now) && now >= held.orders_from;
+        let valid = self.has_lease(now) && self.is_claim_valid(now, held.fence);
+        let allowed = valid && now >= held.orders_from;
         (allowed || active(Failpoint::IgnoreFence)).then_some(held.fence)
     }
 
@@ -308,7 +354,8 @@
         let mut claims = Vec::new();
         let mut own = self.held_among(engines);
         for id in engines {
-            if self.held.contains_key(id) {
+            let held = self.held.get(id);
+            if held.is_some_and(|e| row_version::era(e.fence) >= self.era) {
                 continue;
             }
             let claim = |expected, pause, former_lease| HolderClaim {
@@ -317,6 +364,14 @@
                 pause,
                 former_lease,
             };
+            // The restored store does not know this node's claim.
+            if held.is_some_and(|e| self.is_claim_valid(now, e.fence)) {
+                claims.push(claim(self.holders.get(id).map_or(0, |h| h.fence), Ms(0), None));
+                continue;
+            }
+            if now < self.claims_from {
+                continue;
+            }
             match self.holders.get(id) {
                 // Held by this node before its process restarted.
                 Some(h) if h.node == self.name => claims.push(claim(h.fence, Ms(0), None)),
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -178,6 +178,7 @@
         leaving_versions,
         limited: stated_limits(edge, now),
         store_era: edge.store_era.get(),
+        restored_age: edge.restored_at.get().and_then(|at| u32::try_from(now.since(at).0).ok()),
     }
 }
 
@@ -342,6 +343,9 @@
     if let Some(era) = beat.store_era.filter(|_| edge.store_era.get().is_some()) {
         edge.observe_era(era, name);
     }
+    if let Some(age) = beat.restored_age.filter(|_| beat.store_era == edge.store_era.get()) {
+        edge.on_restore_told(now - Ms(u64::from(age)));
+    }
     let counts = edge.node_counts(now);
     for spent in &beat.spent {
         let mut limits = edge.team_limits.borrow_mut();
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -484,10 +484,13 @@
     edge: &Edge,
     renewed: &Cell<Ms>,
     skipped_reads: &Cell<u32>,
+    read_era: &Cell<Option<u64>>,
 ) -> Result<bool> {
     let now = BootClock.now();
     let lapsed = !edge.holders.borrow().has_lease(now);
-    if now.since(renewed.get()) >= RENEW_INTERVAL || renewed.get() == Ms(0) {
+    // A restored store may have lost this node's row, and the claims of all.
+    let restored = read_era.get() != edge.store_era.get();
+    if now.since(renewed.get()) >= RENEW_INTERVAL || renewed.get() == Ms(0) || restored {
         if !renew_lease(edge).await? {
             return Ok(false);
         }
@@ -496,15 +499,17 @@
     let engines = engine_endpoints(edge);
     let unlisted_peers = edge.has_unlisted_peers(now);
     let unheld = !without_holder(edge, engines.clone()).is_empty();
-    let read_due = engines.is_empty() || lapsed || unlisted_peers || unheld;
+    let read_due = engines.is_empty() || lapsed || restored || unlisted_peers || unheld;
     if !read_due && skipped_reads.get() < MAX_ROUNDS_UNREAD {
         skipped_reads.set(skipped_reads.get() + 1);
         return Ok(true);
     }
+    let era = edge.store_era.get();
     if !(read_nodes(edge).await? && read_holders(edge).await?) {
         return Ok(false);
     }
     skipped_reads.set(0);
+    read_era.set(era);
     // A stopping node keeps the endpoints it holds but claims no more.
     if *edge.stopping.borrow() {
         return Ok(true);
@@ -530,6 +535,7 @@
 pub(crate) async fn maintain_membership(edge: Rc<Edge>) {
     let dependency = Dependency::new(NODES_TABLE);
     let (renewed, skipped_reads) = (Cell::new(Ms(0)), Cell::new(MAX_ROUNDS_UNREAD));
+    let read_era = Cell::new(None);
     let begun = BootClock.now();
     // The node's row is written first, so that nodes that start together read each other's.
     while BootClock.now().since(begun) < MAX_START_WAIT {
@@ -546,7 +552,7 @@
         sleep(START_POLL_INTERVAL).await;
     }
     loop {
-        match membership_round(&edge, &renewed, &skipped_reads).await {
+        match membership_round(&edge, &renewed, &skipped_reads, &read_era).await {
             Ok(true) => dependency.on_success(),
             Ok(false) => dependency.on_failure(&edge, "unavailable").await,
             Err(e) => dependency.on_failure(&edge, &e.to_string()).await,
--- a/tests/endpoint_holders.rs
+++ b/tests/endpoint_holders.rs
@@ -7,6 +7,7 @@
     CLOCK_MARGIN, EndpointHolders, FIRST_CLAIM_DELAY, HolderClaim, HolderRecord, LEASE_TTL,
     NodeRecord, UNLISTED_FOR,
 };
+use sycamorefork::row_version;
 use sycamorefork::time::Ms;
 
 const HANDOVER_PAUSE: Ms = Ms(3_500);
@@ -230,3 +231,60 @@
 fn node_at(name: &str, at: Ms) -> NodeRecord {
     node(name, 100 + at.0)
 }
+
+/// Version of a row in the store's second era.
+fn restored(version: u64) -> u64 {
+    row_version::qualify(2, version)
+}
+
+// The rows by which "a" holds "i-1" were lost. Its orders go on under its lease, and it claims the
+// endpoint again at once, with a higher fence; after the lease of the former era it gives no orders.
+#[test]
+fn holder_claims_endpoints_again_that_a_restore_lost() {
+    let mut a = holder_of_i1();
+    a.on_restored(Ms(5_000), 2);
+    a.on_renewed(Ms(5_010), Ms(5_020));
+    a.on_nodes(Ms(5_020), vec![node("a", restored(9)), node("b", restored(8))]);
+    a.on_holders(Ms(5_030), Vec::new());
+    assert_eq!(a.fence(Ms(5_030), "i-1"), Some(24));
+    assert_eq!(a.due_claims(Ms(5_030), &[Rc::from("i-1")]), vec![claim(0, Ms(0))]);
+    let mut lost = a.clone();
+    a.on_claimed(&claim(0, Ms(0)));
+    a.on_holders(Ms(5_040), vec![holding("a", 1, restored(12))]);
+    assert_eq!(a.fence(Ms(5_040), "i-1"), Some(restored(12)));
+    let former_end = Ms(2_000) + LEASE_TTL;
+    lost.on_holders(former_end, Vec::new());
+    assert_eq!(lost.fence(former_end, "i-1"), None);
+}
+
+// The copy names the holder, whose claim is older than it: nothing interrupts its orders.
+#[test]
+fn holder_that_a_restored_row_names_goes_on() {
+    let mut a = holder_of_i1();
+    a.on_restored(Ms(5_000), 2);
+    a.on_holders(Ms(5_030), vec![holding("a", 1, restored(24))]);
+    assert_eq!(a.fence(Ms(5_030), "i-1"), Some(restored(24)));
+    let later = Ms(2_000) + LEASE_TTL + Ms(100);
+    a.on_renewed(Ms(8_000), Ms(8_000));
+    assert_eq!(a.fence(later, "i-1"), Some(restored(24)));
+}
+
+// The holder of an endpoint may be one that the restored store does not name. Neither a node that
+// it names, nor one that finds no row, may claim the endpoint before all former leases have lapsed.
+#[test]
+fn restored_rows_allow_no_claim_before_former_leases_have_lapsed() {
+    let rows = [vec![], vec![holding("b", 1, restored(9))], vec![holding("gone", 1, restored(9))]];
+    for holders in rows {
+        let mut b = EndpointHolders::new("b", 2, HANDOVER_PAUSE, Ms(0));
+        b.on_renewed(Ms(20_000), Ms(20_000));
+        b.on_restored(Ms(20_000), 2);
+        let end = Ms(20_000) + LEASE_TTL + CLOCK_MARGIN;
+        for at in [Ms(20_010), end - Ms(1), end] {
+            b.on_renewed(at, at);
+            b.on_nodes(at, vec![node("b", restored(20 + at.0))]);
+            b.on_holders(at, holders.clone());
+            let claims = b.due_claims(at, &[Rc::from("i-1")]);
+            assert_eq!(claims.len(), usize::from(at == end), "{at}: {claims:?}");
+        }
+    }
+}
