Tell rows that a restore of the store lost or brought back from lifts of the quarantine

After a restore from an older copy, a quarantine row written since was gone, which nodes took for the operators' lift: requests that crash endpoints were served again. A row that operators had removed was back, and a node that started later would have taken it over.

The table is read as soon as a new era of the store is seen. Rows that are gone then are written again, and rows of entries that were lifted here are removed again.

--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -162,6 +162,12 @@
         }
     }
 
+    /// Whether a feature is not quarantined because its entry was lifted here.
+    pub(crate) fn is_lifted(&self, now: Ms, feature: u64) -> bool {
+        self.lifts.borrow().contains_key(&feature)
+            && self.quarantine.borrow().get(now, feature).is_none()
+    }
+
     /// Entries in force.
     pub(crate) fn entries(&self, now: Ms) -> Vec<QuarantineEntry> {
         self.quarantine.borrow_mut().expire(now);
--- a/src/quarantine_store.rs
+++ b/src/quarantine_store.rs
@@ -5,6 +5,9 @@
 //! nodes notice within [`READ_INTERVAL`].
 //!
 //! Rows hold no time of day, since a node whose clock is wrong would lift entries for all others.
+//! A row that is gone after a restore of the store from an older copy was not lifted, and is written
+//! again; one that is back although it was lifted is removed again.
+//!
 //! An entry expires [`DEFAULT_EXPIRY`] after a node first saw its row, on that node's clock.
 
 use std::cell::RefCell;
@@ -18,6 +21,7 @@
 use crate::ids::Set;
 use crate::platform::store::{Change, Outcome, Row};
 use crate::quarantine_list::{DEFAULT_EXPIRY, QuarantineEntry};
+use crate::row_version;
 use crate::store_calls::{Dependency, commit, log_unreadable, read_all};
 use crate::time::{BootClock, Clock, Ms};
 
@@ -59,15 +63,25 @@
     commit(edge, &[change], &[]).await.map(drop)
 }
 
+/// Rows of the table at the last read.
+#[derive(Default)]
+struct StoredRows {
+    features: Set<u64>,
+    /// Version of the read; 0 before the first one.
+    version: u64,
+}
+
 /// Reads the rows and brings this node's entries and the rows in line; false if the store was
-/// unavailable. `stored` holds the features that had a row at the last read.
-async fn synchronize(edge: &Edge, stored: &RefCell<Set<u64>>) -> Result<bool> {
+/// unavailable.
+async fn synchronize(edge: &Edge, stored: &RefCell<StoredRows>) -> Result<bool> {
     let Outcome::Done(rows) = read_all(edge, TABLE).await? else { return Ok(false) };
     let now = BootClock.now();
     let watch = &edge.crash_watch;
     let mut found: Set<u64> = Set::default();
     let mut outdated = Vec::new();
     let known: Set<u64> = watch.entries(now).iter().map(|e| e.fingerprint).collect();
+    let last = stored.borrow().version;
+    let restored = last > 0 && row_version::era(last) < row_version::era(rows.version);
     for row in &rows.rows {
         let (feature, value) = match decode(row) {
             Ok(decoded) => decoded,
@@ -80,7 +94,8 @@
         if known.contains(&feature) {
             continue;
         }
-        if stored.borrow().contains(&feature) {
+        let was_stored = stored.borrow().features.contains(&feature);
+        if was_stored || (restored && watch.is_lifted(now, feature)) {
             // The entry was lifted or has expired here since the row was read.
             outdated.push(feature);
             continue;
@@ -89,14 +104,15 @@
         let entry = QuarantineEntry { fingerprint: feature, reason: value.reason, expiry };
         watch.merge(edge, now, entry, "store");
     }
-    let before = stored.replace(found);
-    for feature in before.iter().filter(|f| !stored.borrow().contains(*f)) {
+    let before = stored.replace(StoredRows { features: found, version: rows.version });
+    let is_stored = |feature: &u64| stored.borrow().features.contains(feature);
+    for feature in before.features.iter().filter(|f| !restored && !is_stored(f)) {
         watch.lift(now, *feature, "its row was removed");
     }
     for feature in outdated {
         remove_row(edge, feature).await?;
     }
-    for entry in watch.entries(now).iter().filter(|e| !stored.borrow().contains(&e.fingerprint)) {
+    for entry in watch.entries(now).iter().filter(|e| !is_stored(&e.fingerprint)) {
         write_row(edge, entry).await?;
     }
     Ok(true)
@@ -118,7 +134,12 @@
                 continue;
             }
         }
-        let changed = edge.crash_watch.list_changed.notified();
+        let changed = async {
+            tokio::select! {
+                () = edge.crash_watch.list_changed.notified() => {}
+                () = edge.era_changed.notified() => {}
+            }
+        };
         let has_entries = !edge.crash_watch.entries(BootClock.now()).is_empty();
         match has_entries {
             // The entries are read again after the interval even if none has changed.
