--- a/standin/src/row_store.rs
+++ b/standin/src/row_store.rs
@@ -26,6 +26,9 @@
     LosesAnswers,
 }
 
+/// Era of a store that has not been restored.
+pub const FIRST_ERA: u64 = 1;
+
 /// Rows and history of a store at one moment.
 #[derive(Clone, Default)]
 pub struct Copy {
@@ -67,7 +70,7 @@
             changes: Vec::new(),
             version: 0,
             oldest: 0,
-            era: 1,
+            era: FIRST_ERA,
             fault: RowStoreFault::None,
             calls: 0,
         }
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -8,9 +8,10 @@
 use standin::caller::{CallerRequest, HOST, KEY, exchange, read_answer, wait_until};
 use standin::endpoint_instance::EndpointFault;
 use standin::node::{Node, NodeAddresses, program_path, settings};
-use standin::row_store;
+use standin::row_store::{self, FIRST_ERA};
 use standin::test_setup::{TestSetup, document};
 use sycamorefork::generated::mesh;
+use sycamorefork::row_version;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::sleep;
@@ -430,7 +431,7 @@
 async fn send_leaves(node: &Node, endpoints: &[&str], version: u64) {
     let beat = mesh::Beat {
         leaving: endpoints.iter().map(ToString::to_string).collect(),
-        leaving_versions: vec![version; endpoints.len()],
+        leaving_versions: vec![row_version::qualify(FIRST_ERA, version); endpoints.len()],
         ..mesh::Beat::default()
     };
     let datagram = mesh::Datagram {
