Test late refusals, cut heads and errors after a broken stream in both roles

Reports of other operators: a refusal written once more on a kept connection, a stream that is followed by the error of the next endpoint, and an answer's head that ends too early.

--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -29,6 +29,8 @@
     Foreign,
     /// Runs the request and closes the connection before the end of the answer.
     Cut,
+    /// Runs the request and closes the connection before the end of the answer's head.
+    CutHead,
     /// Refuses the request without running it because it is full.
     Full,
     /// Runs the request and answers with status 503.
@@ -178,7 +180,8 @@
         lock(&self.state).endless_pause = pause;
     }
 
-    /// Refuses the next requests, as if their adapters were not loaded.
+    /// Refuses the next requests, as if their adapters were not loaded, or at a plain endpoint as
+    /// if it were full.
     pub fn refuse_next(&self, count: usize) {
         lock(&self.state).refusals = count;
     }
@@ -356,11 +359,11 @@
         let crashes = state.crashes_on(request);
         (state.fault, absent, crashes, state.event_count, state.event_pause)
     };
-    if absent {
+    if absent && *is_engine {
         connection.write_answer(421, &own, b"").await?;
         return Ok(true);
     }
-    if fault == EndpointFault::Full {
+    if absent || fault == EndpointFault::Full {
         connection.write_answer(503, &format!("{own}X-Not-Executed: 1\r\n"), b"").await?;
         return Ok(true);
     }
@@ -403,6 +406,11 @@
             connection.write(text.as_bytes()).await?;
             return Ok(false);
         }
+        EndpointFault::CutHead => {
+            let text = format!("HTTP/1.1 200 OK\r\n{head}Content-Len");
+            connection.write(text.as_bytes()).await?;
+            return Ok(false);
+        }
         EndpointFault::None
         | EndpointFault::Foreign
         | EndpointFault::Extra
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -463,6 +463,19 @@
     .unwrap()
 }
 
+fn service_call(attempt: u128) -> ServiceCall {
+    ServiceCall {
+        attempt: AttemptId(attempt),
+        fence: 1,
+        method: Method::POST,
+        path: "/book".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        deadline: test_deadline(),
+        expiry: NEVER,
+    }
+}
+
 /// Guards against giving a caller the answer to another call, whether or not the service names
 /// the attempt in its answers.
 #[tokio::test]
@@ -475,17 +488,7 @@
         .await;
         let service = HttpService::new(http_client(), server.address, Duration::from_secs(5));
         for n in 1..=4 {
-            let call = ServiceCall {
-                attempt: AttemptId(n),
-                fence: 1,
-                method: Method::POST,
-                path: "/book".to_owned(),
-                headers: HeaderMap::new(),
-                body: Bytes::new(),
-                deadline: test_deadline(),
-                expiry: NEVER,
-            };
-            match service.call(&call).await {
+            match service.call(&service_call(n)).await {
                 Ok(reply) => assert_eq!(reply.body, format!("answer to {}", AttemptId(n))),
                 Err(e) => assert!(matches!(e, StartError::Unknown(_)), "{e:?}"),
             }
@@ -533,6 +536,74 @@
     }
 }
 
+/// Guards against stating "not run" for a call that runs because an earlier refusal was written
+/// once more on its connection.
+#[tokio::test]
+async fn late_copy_of_a_service_refusal_is_not_a_refusal() {
+    for named in [true, false] {
+        let server = serve_late_copies(move |attempt, count| {
+            let header = if named { format!("x-request-id: {attempt}\r\n") } else { String::new() };
+            match count {
+                0 => (503, header, r#"{"error":{"ran":"no"}}"#.to_owned()),
+                _ => (200, header, format!("answer to {attempt}")),
+            }
+        })
+        .await;
+        let service = HttpService::new(http_client(), server.address, Duration::from_secs(5));
+        let mut refused = Vec::new();
+        for n in 1..=2 {
+            let answer = service.call(&service_call(n)).await;
+            refused.push(matches!(answer, Err(StartError::Refused { .. })));
+        }
+        // Without the attempt's name each call has a connection of its own.
+        assert_eq!(refused, [true, !named]);
+    }
+}
+
+/// Guards against taking a head that ends too early for a complete answer without a body.
+#[tokio::test]
+async fn answer_with_a_cut_head_is_not_an_answer() {
+    let heads = ["HTTP/1.1 200 OK\r\nContent-Len", "HTTP/1.1 200 OK\r\nx: y\r\n", "HTTP/1.1 200"];
+    for head in heads {
+        let server = standin::http_server::serve(move |mut connection| async move {
+            connection.read_request().await?;
+            connection.write(head.as_bytes()).await
+        })
+        .await
+        .unwrap();
+        let service = HttpService::new(http_client(), server.address, Duration::from_secs(5));
+        let answer = service.call(&service_call(1)).await;
+        assert!(matches!(answer, Err(StartError::Unknown(_))), "{head:?}: {answer:?}");
+        let engine = HttpEngine::new(http_client(), server.address, EngineSettings::default());
+        let answer = engine.start(&call(2, &body("base", true, 4))).await;
+        assert!(matches!(answer, Err(StartError::Unknown(_))), "{head:?}");
+    }
+}
+
+/// Guards against passing on the text of an error as a part of the stream that it should resume.
+#[tokio::test]
+async fn error_in_place_of_a_resumed_stream_yields_no_frames() {
+    let answers = [
+        "HTTP/1.1 500 E\r\nContent-Length: 4\r\n\r\nfail",
+        "HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 500 E\r\n\r\nfail",
+        "HTTP/1.1 200 OK\r\n\r\ndata: {\"error\":{\"message\":\"fail\"}}\n\n",
+    ];
+    for answer in answers {
+        let server = standin::http_server::serve(move |mut connection| async move {
+            connection.read_request().await?;
+            connection.write(answer.as_bytes()).await
+        })
+        .await
+        .unwrap();
+        let engine = HttpEngine::new(http_client(), server.address, EngineSettings::default());
+        let resumed = EngineCall { resume_offset: Some(3), ..call(1, &body("base", true, 4)) };
+        let Ok(mut reply) = engine.start(&resumed).await else { continue };
+        let first = reply.frames.next().await;
+        assert!(matches!(first, Some(Err(_))), "{answer:?}: {first:?}");
+        assert!(reply.frames.next().await.is_none(), "{answer:?}");
+    }
+}
+
 /// Guards against waiting without end for a stream that sends a byte now and then and no event,
 /// and against cutting a stream that its engine still runs.
 #[tokio::test]
