Soak: restores of the store and limits that endpoints state

The check 'stated limit' counts requests at an endpoint while no node was started or disturbed; requests_beyond_a_stated_limit_are_found_unless_a_node_was_disturbed covers it.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -36,6 +36,26 @@
 /// Statuses that state that a request did not run.
 const NOT_RUN_STATUSES: [u16; 5] = [401, 404, 413, 429, 503];
 
+/// Requests per second that an endpoint states as its limit.
+pub const STATED_LIMIT: f64 = 4.0;
+/// Window in which requests to an endpoint with a limit are counted.
+const STATED_WINDOW: Duration = Duration::from_secs(4);
+/// Factor and number of requests by which a stated limit may be exceeded in a window.
+const STATED_TOLERANCE: (f64, f64) = (1.5, 5.0);
+
+/// A rate limit that an endpoint stated.
+#[derive(Clone, Debug)]
+pub struct StatedLimit {
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// When it was first stated.
+    pub from: Instant,
+    /// When it was last stated.
+    pub until: Instant,
+    /// Arrivals of all requests at the endpoint.
+    pub arrivals: Vec<Instant>,
+}
+
 /// A configuration written by the operators.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -95,6 +115,8 @@
     pub disturbed: Vec<NodeTime>,
     /// Exits of processes that were not told to stop.
     pub exits: Vec<String>,
+    /// Rate limits that endpoints stated.
+    pub limits: Vec<StatedLimit>,
     /// Crashes of engines by the prompt part that crashes them.
     pub fatal_crashes: Vec<Instant>,
 }
@@ -156,6 +178,7 @@
     check_leaves(history, &mut findings);
     check_configurations(history, &mut findings);
     check_limit(history, &mut findings);
+    check_stated_limits(history, &mut findings);
     check_holders(history, &mut findings);
     check_stops(history, &mut findings);
     check_deadlines(history, &mut findings);
@@ -264,6 +287,32 @@
     }
 }
 
+/// Checks the limits that endpoints stated over all nodes, while no node was started or disturbed.
+fn check_stated_limits(history: &History, findings: &mut Vec<String>) {
+    let (factor, extra) = STATED_TOLERANCE;
+    let allowed = factor * STATED_LIMIT * STATED_WINDOW.as_secs_f64() + extra;
+    let nodes = || history.disturbed.iter().chain(&history.stops);
+    for limit in &history.limits {
+        let arrivals = &limit.arrivals;
+        let is_judged = |at: &Instant| {
+            let end = *at + STATED_WINDOW;
+            let since = *at - STABLE_AFTER;
+            let disturbed = nodes().any(|n| n.from <= end && n.until + STABLE_AFTER >= since);
+            since >= limit.from && end <= limit.until && !disturbed
+        };
+        let count = |from: Instant| {
+            arrivals.iter().filter(|a| **a >= from && **a < from + STATED_WINDOW).count()
+        };
+        let most = arrivals.iter().filter(|at| is_judged(at)).map(|at| count(*at)).max();
+        if most.is_some_and(|most| most as f64 > allowed) {
+            findings.push(format!(
+                "stated limit: {most:?} requests in {STATED_WINDOW:?} at {}, allowed {allowed}",
+                limit.endpoint
+            ));
+        }
+    }
+}
+
 /// Checks that a planned stop cuts off no request that was passed on to an endpoint.
 fn check_stops(history: &History, findings: &mut Vec<String>) {
     let runs = history.runs_by_attempt();
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,7 +17,8 @@
 
 use crate::callers::{self, FATAL_PART, METER_KEY, METER_TASKS, STUDIO_TASKS, Shared, version_key};
 use crate::check::{
-    Config, Departure, EVENTS_PER_STREAM, History, METER_BURST, METER_RATE, NodeTime,
+    Config, Departure, EVENTS_PER_STREAM, History, METER_BURST, METER_RATE, NodeTime, STATED_LIMIT,
+    StatedLimit,
 };
 use crate::plan::{Event, Fault, Size};
 
@@ -101,6 +102,8 @@
     replaced: Vec<ProxiedEndpoint>,
     shared: Arc<Shared>,
     failpoint: Option<String>,
+    /// Copy from which the store is to be restored.
+    copy: Option<row_store::Copy>,
     history: History,
 }
 
@@ -135,6 +138,7 @@
             replaced: Vec::new(),
             shared: Arc::new(shared),
             failpoint: failpoint.map(str::to_owned),
+            copy: None,
             history: History { configs, ..History::default() },
         };
         for n in 0..size.nodes {
@@ -255,6 +259,14 @@
                 self.rows.put("op", "config", &configuration(version - 1));
             }
             Fault::Compact => self.rows.compact(),
+            Fault::Restore => self.copy = Some(self.rows.copy()),
+            Fault::Limit { endpoint } => {
+                let instance = &self.endpoints[endpoint].instance;
+                instance.state_limit(Some(STATED_LIMIT));
+                let (endpoint, arrivals) = (instance.id.clone(), Vec::new());
+                let limit = StatedLimit { endpoint, from: Instant::now(), until: end, arrivals };
+                self.history.limits.push(limit);
+            }
         }
     }
 
@@ -269,6 +281,8 @@
             Fault::StoreLink { node, .. } => self.store_proxies[node].set_mode(Mode::Pass),
             Fault::Leave { endpoint } => self.replace_endpoint(endpoint).await,
             Fault::Poison => self.shared.poison.store(false, Ordering::Relaxed),
+            Fault::Limit { endpoint } => self.endpoints[endpoint].instance.state_limit(None),
+            Fault::Restore => self.restore(),
             Fault::Lag => {
                 let version = self.shared.version.load(Ordering::Relaxed);
                 self.rows.put("op", "config", &configuration(version));
@@ -284,6 +298,16 @@
         }
     }
 
+    /// Restores the store from the copy. Endpoints that are gone are removed again.
+    fn restore(&mut self) {
+        let Some(copy) = self.copy.take() else { return };
+        self.rows.restore(copy);
+        let live: Vec<&str> = self.endpoints.iter().map(|e| e.instance.id.as_str()).collect();
+        for id in self.rows.keys("servers").iter().filter(|id| !live.contains(&id.as_str())) {
+            self.rows.remove("servers", id);
+        }
+    }
+
     /// Completes the history with what the endpoints recorded.
     fn into_history(mut self, start: Instant, events: &[Event]) -> History {
         let at = |ms: u64| start + Duration::from_millis(ms);
@@ -302,6 +326,10 @@
         };
         self.history.sent = std::mem::take(&mut *self.shared.sent.lock().unwrap());
         self.history.runs = endpoints.clone().flat_map(runs_of).collect();
+        for limit in &mut self.history.limits {
+            let stated = endpoints.clone().find(|p| p.instance.id == limit.endpoint);
+            limit.arrivals = stated.map(|p| p.instance.arrivals()).unwrap_or_default();
+        }
         self.history.orders =
             endpoints.map(|p| (p.instance.id.clone(), p.instance.orders())).collect();
         self.history.hidden = times(Fault::hides_store);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -42,6 +42,14 @@
 const STOP_MS: (u64, u64) = (8_500, 9_000);
 /// Range of the time for which requests that crash engines are sent, in ms.
 const POISON_MS: (u64, u64) = (9_000, 12_000);
+/// Range of the time for which an endpoint states a limit, in ms.
+const LIMIT_MS: (u64, u64) = (8_000, 14_000);
+/// Range of the age of the copy from which the store is restored, in ms.
+const RESTORE_MS: (u64, u64) = (1_000, 9_000);
+/// Range of the time between the starts of two limits or restores, in ms.
+const DRILL_GAP_MS: (u64, u64) = (4_000, 12_000);
+/// Distinguishes the random numbers of limits and restores from those of other faults.
+const DRILL_STREAM: u64 = 1 << 32;
 /// Range of the number of faults in a series.
 const FAULTS_PER_SERIES: (u32, u32) = (3, 9);
 /// Time without new faults after a series and at the end of the run, in ms. It is longer than
@@ -86,6 +94,10 @@
     Lag,
     /// The store drops its change history.
     Compact,
+    /// The store is restored, at the end of the fault, from a copy taken at its start.
+    Restore,
+    /// An endpoint states a rate limit.
+    Limit { endpoint: usize },
 }
 
 impl Fault {
@@ -102,6 +114,7 @@
                 | Self::Configure
                 | Self::NameVersion
                 | Self::Reload { .. }
+                | Self::Limit { .. }
         )
     }
 
@@ -131,6 +144,8 @@
             Self::Freeze { .. } => FREEZE_MS,
             Self::Stop { .. } => STOP_MS,
             Self::Poison => POISON_MS,
+            Self::Limit { .. } => LIMIT_MS,
+            Self::Restore => RESTORE_MS,
             _ => DURATION_MS,
         }
     }
@@ -203,6 +218,7 @@
         Fault::Endpoint { endpoint, .. }
         | Fault::Link { endpoint, .. }
         | Fault::Crash { endpoint }
+        | Fault::Limit { endpoint }
         | Fault::Leave { endpoint } => Some(endpoint),
         _ => None,
     };
@@ -210,6 +226,7 @@
     (endpoint(a).is_some() && endpoint(a) == endpoint(b))
         || (matches!(a, Fault::Store(_)) && matches!(b, Fault::Store(_)))
         || (a == Fault::Poison && b == Fault::Poison)
+        || (a == Fault::Restore && b == Fault::Restore)
         || (is_config(a) && is_config(b))
 }
 
@@ -235,5 +252,25 @@
             at += QUIET_MS;
         }
     }
+    add_drills(seed, length_ms, size, &mut events);
     events
 }
+
+/// Adds limits of endpoints and restores of the store to the faults of a run. They are drawn
+/// apart, so that the other faults of a seed do not depend on them.
+fn add_drills(seed: u64, length_ms: u64, size: Size, events: &mut Vec<Event>) {
+    let mut rng = StdRng::seed_from_u64(seed ^ DRILL_STREAM);
+    let mut at = rng.random_range(DRILL_GAP_MS.0..DRILL_GAP_MS.1);
+    while at + QUIET_MS < length_ms {
+        let endpoint = rng.random_range(0..size.endpoints());
+        let fault = *[Fault::Restore, Fault::Limit { endpoint }].choose(&mut rng).unwrap();
+        let (least, most) = fault.duration();
+        let end = at + rng.random_range(least..most);
+        let overlaps = |e: &Event| e.end > at && e.at < end && conflict(e.fault, fault);
+        if end + QUIET_MS / 2 < length_ms && !events.iter().any(overlaps) {
+            events.push(Event { at, end, fault });
+        }
+        at += rng.random_range(DRILL_GAP_MS.0..DRILL_GAP_MS.1);
+    }
+    events.sort_by_key(|e| e.at);
+}
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -6,7 +6,7 @@
 
 use serde_json::json;
 use soak::callers::{Kind, Sent};
-use soak::check::{Config, Departure, History, NodeTime, check};
+use soak::check::{Config, Departure, History, NodeTime, StatedLimit, check};
 use soak::plan::{Size, plan};
 use standin::caller::Answer;
 use standin::endpoint_instance::Run;
@@ -168,3 +168,18 @@
     history.sent.push(refused(Kind::Stream));
     assert_eq!(words(&history), ["sound"]);
 }
+
+#[test]
+fn requests_beyond_a_stated_limit_are_found_unless_a_node_was_disturbed() {
+    let now = Instant::now();
+    let arrivals = (0..200).map(|n| now + ms(n * 50)).collect();
+    let (endpoint, until) = ("i-0".to_owned(), now + ms(10_000));
+    let limits = vec![StatedLimit { endpoint, from: now, until, arrivals }];
+    let mut history = History { limits, ..History::default() };
+    assert_eq!(words(&history), ["stated limit"]);
+    history.disturbed = vec![NodeTime { node: 0, from: now + ms(4_000), until: now + ms(4_100) }];
+    assert_eq!(words(&history), [""; 0]);
+    history.disturbed.clear();
+    history.limits[0].arrivals = (0..50).map(|n| now + ms(n * 200)).collect();
+    assert_eq!(words(&history), [""; 0]);
+}
