Take an answer without the store's era for one of the era that is known

Otherwise an error from something in front of the store would look like an answer of a former era, and a refused feed would never be read anew. Found by reading; covered in tests/adapter.rs.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -228,10 +228,9 @@
     Row { table: wire.table, key: wire.key, value, version, removed: wire.removed }
 }
 
-/// The era of the store that gave an answer; it rises when the store is restored from a copy.
-pub fn era(headers: &HeaderMap) -> u64 {
-    let text = headers.get(ERA).and_then(|v| v.to_str().ok());
-    text.and_then(|t| t.trim().parse().ok()).unwrap_or(0)
+/// The era of the store that an answer states; it rises when the store is restored from a copy.
+pub fn era(headers: &HeaderMap) -> Option<u64> {
+    headers.get(ERA)?.to_str().ok()?.trim().parse().ok()
 }
 
 /// Decodes an answer of a store in the given era that contains rows.
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use tokio::time::{Instant, sleep};
 
@@ -62,16 +62,25 @@
     }
 }
 
-async fn call_store(edge: &Edge, request: Request<Full<Bytes>>, wait: Ms) -> Result<FullResponse> {
+/// An answer of the store.
+struct StoreAnswer {
+    status: StatusCode,
+    body: Bytes,
+    /// Era of the store.
+    era: u64,
+}
+
+async fn call_store(edge: &Edge, request: Request<Full<Bytes>>, wait: Ms) -> Result<StoreAnswer> {
     let deadline = Instant::now() + CALL_TIMEOUT + wait.to_std();
     let answer = edge.control_client.fetch(edge.deployment.store, request, deadline).await;
-    let answer = answer.map_err(|e| Error::io("store", e))?;
-    let era = store::era(&answer.headers);
-    if edge.store_era.get().is_some_and(|known| era < known) {
+    let FullResponse { status, headers, body } = answer.map_err(|e| Error::io("store", e))?;
+    let known = edge.store_era.get();
+    let era = store::era(&headers).or(known).unwrap_or(0);
+    if known.is_some_and(|known| era < known) {
         return Err(Error::platform("store", format!("late answer of the former era {era}")));
     }
     edge.observe_era(era, "store");
-    Ok(answer)
+    Ok(StoreAnswer { status, body, era })
 }
 
 /// Reads all rows of a table, with the version from which its feed continues.
@@ -81,7 +90,7 @@
     loop {
         let request = store::rows_request(table, &from)?;
         let answer = call_store(edge, request, Ms(0)).await?;
-        let era = store::era(&answer.headers);
+        let era = answer.era;
         let page = match store::decode_rows(era, answer.status, &answer.body)? {
             Outcome::Done(page) => page,
             other => return Ok(other),
@@ -104,7 +113,7 @@
 pub(crate) async fn read_feed(edge: &Edge, table: &str, after: u64) -> Result<Outcome<Rows>> {
     let request = store::feed_request(table, after, FEED_WAIT.0)?;
     let answer = call_store(edge, request, FEED_WAIT).await?;
-    store::decode_rows(store::era(&answer.headers), answer.status, &answer.body)
+    store::decode_rows(answer.era, answer.status, &answer.body)
 }
 
 /// Commits changes if the conditions hold. Versions of a former era hold no more, even if the
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -248,6 +248,8 @@
     let Outcome::Done(rows) = rows else { panic!("{rows:?}") };
     assert_eq!((rows.version, rows.rows[0].value.as_slice()), (9, b"x".as_slice()));
     assert!(rows.rows[1].removed);
+    let era = |text| store::era(&map(&[("store-era", text)]));
+    assert_eq!([era("3"), era("x")], [Some(3), None]);
     let status = |n: u16| store::decode_rows(0, StatusCode::from_u16(n).unwrap(), b"");
     assert_eq!(status(410).unwrap(), Outcome::Refused);
     assert_eq!(status(503).unwrap(), Outcome::Unavailable(503));
