Give a restored row back to no holder whose lease had lapsed

A node whose lease had lapsed and whose endpoint was taken over found itself named again by the row of the copy, and gave orders after the usual pause while the other node, which holds the endpoint by its lease of the former era, was claiming it again.

Own rows that are not held without a break now count only once all leases of the former era have lapsed. endpoint_holders::restored_row_gives_nothing_back_to_a_holder_whose_lease_had_lapsed failed before (orders 3.5 s after the restore) and passes.

--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -232,10 +232,16 @@
             }
         });
         for (id, h) in holders {
-            // After a claim whose answer was lost, or a regained lease, no pause is recorded and
-            // the full one applies.
             if own(h) && !self.held.contains_key(id) {
-                let orders_from = now + self.pauses.remove(id).unwrap_or(self.handover_pause);
+                let pause = match self.pauses.remove(id) {
+                    Some(pause) => pause,
+                    // A takeover from this node may be lost.
+                    None if now < self.claims_from => continue,
+                    // After a claim whose answer was lost, or a regained lease, no pause is
+                    // recorded and the full one applies.
+                    None => self.handover_pause,
+                };
+                let orders_from = now + pause;
                 self.held.insert(id.clone(), OrderFence { fence: h.fence, orders_from });
             }
         }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -7,6 +7,7 @@
 use sycamorefork::endpoint_choice::rendezvous_first;
 use sycamorefork::platform::store::{Change, Outcome};
 use sycamorefork::platform::{document, entry, headers, order, settings, store};
+use sycamorefork::row_version;
 
 fn map(pairs: &[(&str, &str)]) -> HeaderMap {
     let pair = |(k, v): &(&str, &str)| {
@@ -242,6 +243,14 @@
     let body = format!("{:?}", store::commit_request(&[change], &[condition]).body());
     assert!(body.contains("Expected") && body.contains("Put"), "{body}");
     assert!(body.replace('\\', "").contains(r#""Key":"n-2","Ver":17"#), "{body}");
+    let version = row_version::qualify(3, 17);
+    let condition = store::Condition { table: "nodes", key: "n-2", version };
+    let body = format!("{:?}", store::commit_request(&[], &[condition]).body());
+    assert!(body.replace('\\', "").contains(r#""Ver":17"#), "{body}");
+    assert_eq!(
+        store::feed_request("op", version, 5).unwrap().uri(),
+        "/rows-feed?Table=op&after=17&WaitMs=5"
+    );
     let rows = json!({"Rows": [{"Table": "op", "part": "", "Key": "k", "Value": "eA==", "Ver": 3},
         {"Table": "op", "part": "", "Key": "gone", "Removed": true}], "Ver": 9, "NowMs": 1});
     let rows = store::decode_rows(0, StatusCode::OK, rows.to_string().as_bytes()).unwrap();
--- a/tests/endpoint_holders.rs
+++ b/tests/endpoint_holders.rs
@@ -288,3 +288,25 @@
         }
     }
 }
+
+// The lease of "a" lapsed and another node took "i-1" over, which the restored store does not know.
+// Until the other's lease has lapsed too, the restored row gives "a" nothing back.
+#[test]
+fn restored_row_gives_nothing_back_to_a_holder_whose_lease_had_lapsed() {
+    let mut a = holder_of_i1();
+    let back = Ms(2_000) + LEASE_TTL + Ms(3_000);
+    a.on_restored(back, 2);
+    a.on_renewed(back, back);
+    let end = back + LEASE_TTL + CLOCK_MARGIN;
+    for at in [back, end - Ms(1)] {
+        a.on_renewed(at, at);
+        a.on_nodes(at, vec![node("a", restored(at.0))]);
+        a.on_holders(at, vec![holding("a", 1, restored(24))]);
+        assert_eq!(a.due_claims(at, &[Rc::from("i-1")]), Vec::new());
+        assert_eq!(a.fence(at + HANDOVER_PAUSE, "i-1"), None);
+    }
+    a.on_renewed(end, end);
+    a.on_holders(end, vec![holding("a", 1, restored(24))]);
+    assert_eq!(a.fence(end, "i-1"), None);
+    assert_eq!(a.fence(end + HANDOVER_PAUSE, "i-1"), Some(restored(24)));
+}
