--- a/tests/border.rs
+++ b/tests/border.rs
@@ -1,10 +1,13 @@
 //! Tests the engine and service clients against sample endpoints in the same process.
 
+mod border_calls;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use border_calls::{NEVER, body, call, http_client, test_deadline};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderValue, Method};
@@ -17,7 +20,6 @@
     StartError,
 };
 use sycamorefork::faulty_listener::RunningServer;
-use sycamorefork::http_client::{HttpClient, HttpSettings};
 use sycamorefork::ids::{AdapterRef, AttemptId};
 use sycamorefork::sample_engine::{EngineSpec, Fault, SampleEngine, expected_text};
 use sycamorefork::sample_service::{SampleService, ServiceSpec};
@@ -28,21 +30,10 @@
 use tokio::time::Instant;
 
 const SEED: u64 = 0x5eed_0001;
-/// Expiry of a request that may be sent at any time.
-const NEVER: Ms = Ms(u64::MAX);
-
 fn any_port() -> SocketAddr {
     ([127, 0, 0, 1], 0).into()
 }
 
-fn http_client() -> HttpClient {
-    HttpClient::new(HttpSettings::default())
-}
-
-fn test_deadline() -> Instant {
-    Instant::now() + Duration::from_secs(20)
-}
-
 /// Waits until a condition holds.
 async fn wait_until(mut holds: impl FnMut() -> bool) {
     while !holds() {
@@ -65,29 +56,6 @@
     EngineFixture { sample, _running: running, engine }
 }
 
-fn body(model: &str, stream: bool, tokens: u64) -> Value {
-    json!({
-        "model": model,
-        "messages": [{ "role": "user", "content": "two words" }],
-        "max_tokens": tokens,
-        "stream": stream,
-        "stream_options": { "include_usage": true },
-    })
-}
-
-fn call(attempt: u128, body: &Value) -> EngineCall {
-    EngineCall {
-        attempt: AttemptId(attempt),
-        fence: 7,
-        path: "/v1/chat/completions".to_owned(),
-        body: Bytes::from(body.to_string()),
-        stream: body["stream"] == true,
-        deadline: test_deadline(),
-        expiry: NEVER,
-        resume_offset: None,
-    }
-}
-
 /// Returns the text and the number of tokens of an answer, and the error that ended it.
 async fn read_answer(engine: &HttpEngine, call: &EngineCall) -> (String, u64, Option<FrameError>) {
     let mut reply = engine.start(call).await.unwrap();
@@ -439,171 +407,6 @@
     assert_eq!(report.total.wrong, 100, "{report:?}");
 }
 
-/// A server whose answers come from `answer`; each is sent a second time when the next request
-/// arrives on its connection.
-async fn serve_late_copies(
-    answer: impl Fn(&str, usize) -> (u16, String, String) + Send + Sync + 'static,
-) -> standin::http_server::Server {
-    let answer = std::sync::Arc::new(answer);
-    standin::http_server::serve(move |mut connection| {
-        let answer = answer.clone();
-        async move {
-            let mut count = 0;
-            while let Some(request) = connection.read_request().await? {
-                connection.repeat_answer().await?;
-                let attempt = request.header("x-request-id").unwrap_or_default();
-                let (status, headers, body) = answer(attempt, count);
-                connection.write_answer(status, &headers, body.as_bytes()).await?;
-                count += 1;
-            }
-            Ok(())
-        }
-    })
-    .await
-    .unwrap()
-}
-
-fn service_call(attempt: u128) -> ServiceCall {
-    ServiceCall {
-        attempt: AttemptId(attempt),
-        fence: 1,
-        method: Method::POST,
-        path: "/book".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        deadline: test_deadline(),
-        expiry: NEVER,
-    }
-}
-
-/// Guards against giving a caller the answer to another call, whether or not the service names
-/// the attempt in its answers.
-#[tokio::test]
-async fn late_copy_of_a_service_answer_is_not_an_answer() {
-    for named in [true, false] {
-        let server = serve_late_copies(move |attempt, _| {
-            let header = if named { format!("x-request-id: {attempt}\r\n") } else { String::new() };
-            (200, header, format!("answer to {attempt}"))
-        })
-        .await;
-        let service = HttpService::new(http_client(), server.address, Duration::from_secs(5));
-        for n in 1..=4 {
-            match service.call(&service_call(n)).await {
-                Ok(reply) => assert_eq!(reply.body, format!("answer to {}", AttemptId(n))),
-                Err(e) => assert!(matches!(e, StartError::Unknown(_)), "{e:?}"),
-            }
-        }
-    }
-}
-
-/// Guards against taking a late copy of a refusal, or the end of another stream, for the answer
-/// to a request that runs.
-#[tokio::test]
-async fn late_copy_of_an_engine_answer_is_not_an_answer() {
-    let refusals = serve_late_copies(|attempt, count| match count {
-        0 => (400, format!("x-request-id: {attempt}\r\n"), "no".to_owned()),
-        _ => (200, String::new(), String::new()),
-    })
-    .await;
-    let engine = HttpEngine::new(http_client(), refusals.address, EngineSettings::default());
-    let call = |n| call(n, &body("base", true, 4));
-    let refused = [
-        matches!(engine.start(&call(1)).await, Err(StartError::Refused { .. })),
-        matches!(engine.start(&call(2)).await, Err(StartError::Refused { .. })),
-    ];
-    assert_eq!(refused, [true, false]);
-
-    let streams = serve_late_copies(|attempt, _| {
-        let frame = json!({"id": format!("cmpl-{attempt}"), "model": "base",
-            "choices": [{"text": "token"}]});
-        let head = format!("x-request-id: {attempt}\r\ncontent-type: text/event-stream\r\n");
-        (200, head, format!("data: {frame}\n\ndata: [DONE]\n\n"))
-    })
-    .await;
-    let engine = HttpEngine::new(http_client(), streams.address, EngineSettings::default());
-    for n in 1..=3 {
-        let Ok(mut reply) = engine.start(&call(n)).await else { continue };
-        let mut frames = Vec::new();
-        let mut failed = false;
-        while let Some(frame) = reply.frames.next().await {
-            match frame {
-                Ok(frame) => frames.push(frame.id),
-                Err(_) => failed = true,
-            }
-        }
-        let own = vec![format!("cmpl-{}", AttemptId(n))];
-        assert!(failed || frames == own, "attempt {n}: {frames:?}");
-    }
-}
-
-/// Guards against stating "not run" for a call that runs because an earlier refusal was written
-/// once more on its connection.
-#[tokio::test]
-async fn late_copy_of_a_service_refusal_is_not_a_refusal() {
-    for named in [true, false] {
-        let server = serve_late_copies(move |attempt, count| {
-            let header = if named { format!("x-request-id: {attempt}\r\n") } else { String::new() };
-            match count {
-                0 => (503, header, r#"{"error":{"ran":"no"}}"#.to_owned()),
-                _ => (200, header, format!("answer to {attempt}")),
-            }
-        })
-        .await;
-        let service = HttpService::new(http_client(), server.address, Duration::from_secs(5));
-        let mut refused = Vec::new();
-        for n in 1..=2 {
-            let answer = service.call(&service_call(n)).await;
-            refused.push(matches!(answer, Err(StartError::Refused { .. })));
-        }
-        // Without the attempt's name each call has a connection of its own.
-        assert_eq!(refused, [true, !named]);
-    }
-}
-
-/// Guards against taking a head that ends too early for a complete answer without a body.
-#[tokio::test]
-async fn answer_with_a_cut_head_is_not_an_answer() {
-    let heads = ["HTTP/1.1 200 OK\r\nContent-Len", "HTTP/1.1 200 OK\r\nx: y\r\n", "HTTP/1.1 200"];
-    for head in heads {
-        let server = standin::http_server::serve(move |mut connection| async move {
-            connection.read_request().await?;
-            connection.write(head.as_bytes()).await
-        })
-        .await
-        .unwrap();
-        let service = HttpService::new(http_client(), server.address, Duration::from_secs(5));
-        let answer = service.call(&service_call(1)).await;
-        assert!(matches!(answer, Err(StartError::Unknown(_))), "{head:?}: {answer:?}");
-        let engine = HttpEngine::new(http_client(), server.address, EngineSettings::default());
-        let answer = engine.start(&call(2, &body("base", true, 4))).await;
-        assert!(matches!(answer, Err(StartError::Unknown(_))), "{head:?}");
-    }
-}
-
-/// Guards against passing on the text of an error as a part of the stream that it should resume.
-#[tokio::test]
-async fn error_in_place_of_a_resumed_stream_yields_no_frames() {
-    let answers = [
-        "HTTP/1.1 500 E\r\nContent-Length: 4\r\n\r\nfail",
-        "HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 500 E\r\n\r\nfail",
-        "HTTP/1.1 200 OK\r\n\r\ndata: {\"error\":{\"message\":\"fail\"}}\n\n",
-    ];
-    for answer in answers {
-        let server = standin::http_server::serve(move |mut connection| async move {
-            connection.read_request().await?;
-            connection.write(answer.as_bytes()).await
-        })
-        .await
-        .unwrap();
-        let engine = HttpEngine::new(http_client(), server.address, EngineSettings::default());
-        let resumed = EngineCall { resume_offset: Some(3), ..call(1, &body("base", true, 4)) };
-        let Ok(mut reply) = engine.start(&resumed).await else { continue };
-        let first = reply.frames.next().await;
-        assert!(matches!(first, Some(Err(_))), "{answer:?}: {first:?}");
-        assert!(reply.frames.next().await.is_none(), "{answer:?}");
-    }
-}
-
 /// Guards against waiting without end for a stream that sends a byte now and then and no event,
 /// and against cutting a stream that its engine still runs.
 #[tokio::test]
