Keep departures when the first answer of a restored store refuses a feed

endpoint_that_left_before_a_restore_stays_gone proved too little: another endpoint of the service was left, which the node prefers without load, so that it passed although the node had taken the entry of the copy for a new one. Both endpoints leave now, and no answer may come.

Cause: a feed that the restored store refuses was treated as a history that is gone. The table was read again as of the new era, so that its entries overrode the departures.

--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -84,6 +84,11 @@
     Changes,
 }
 
+/// Whether the store has been restored since it gave out a version.
+fn is_of_former_era(edge: &Edge, version: u64) -> bool {
+    edge.store_era.get().is_some_and(|era| row_version::era(version) < era)
+}
+
 /// Follows a table: calls `adopt` with all of its rows or with the changed ones, then waits for
 /// `pause`. After a restore of the store, all rows are read again.
 async fn follow_table<F, Fut>(edge: &Edge, table: &'static str, pause: Duration, adopt: F)
@@ -95,9 +100,7 @@
     let (mut after, mut scope) = (None, Scope::All);
     loop {
         let restored = edge.era_changed.notified();
-        if let Some(version) = after
-            && edge.store_era.get().is_some_and(|era| row_version::era(version) < era)
-        {
+        if let Some(version) = after.filter(|version| is_of_former_era(edge, *version)) {
             decision!("table_restored", "table": table, "after": row_version::plain(version));
             (after, scope) = (None, Scope::Restored(row_version::era(version)));
         }
@@ -114,14 +117,15 @@
         match answer {
             Ok(Outcome::Done(rows)) => {
                 dependency.on_success();
-                let era = row_version::era(rows.version);
-                if after.is_some_and(|version| row_version::era(version) != era) {
+                if after.is_some_and(|version| is_of_former_era(edge, version)) {
                     continue;
                 }
                 after = Some(rows.version);
                 adopt(rows, std::mem::replace(&mut scope, Scope::Changes)).await;
                 sleep(pause).await;
             }
+            // The refusal was the first answer of a restored store.
+            Ok(Outcome::Refused) if after.is_some_and(|v| is_of_former_era(edge, v)) => {}
             Ok(Outcome::Refused) => {
                 decision!("history_gone", "table": table, "after": after.map(row_version::plain));
                 if after.take().is_some() {
--- a/tests/edge_restored.rs
+++ b/tests/edge_restored.rs
@@ -117,22 +117,38 @@
 // The copy lists an endpoint as ready that has left since.
 #[tokio::test]
 async fn endpoint_that_left_before_a_restore_stays_gone() {
+    check_departure("restored-left", true).await;
+}
+
+// The first answer of the restored store refuses the node's feed.
+#[tokio::test]
+async fn endpoint_that_left_stays_gone_after_a_restore_without_an_outage() {
+    check_departure("restored-refused", false).await;
+}
+
+/// Both endpoints of a service leave, and the store is restored from a copy that lists them.
+async fn check_departure(name: &str, outage: bool) {
     let world = TestSetup::start().await;
-    let node = Node::start("restored-left", world.store_address()).await;
+    let node = Node::start(name, world.store_address()).await;
     let copy = world.rows.copy();
-    world.rows.put("servers", "i-1", &world.ledger[0].entry("draining"));
+    for e in &world.ledger {
+        world.rows.put("servers", &e.id, &e.entry("draining"));
+    }
     raise_version(&world, 20);
     sleep(Duration::from_secs(2)).await;
-    world.rows.remove("servers", "i-1");
+    for e in &world.ledger {
+        world.rows.remove("servers", &e.id);
+    }
     sleep(Duration::from_secs(2)).await;
-    let before = world.ledger[0].arrivals().len();
-    restore(&world, copy, || ()).await;
+    match outage {
+        true => restore(&world, copy, || ()).await,
+        false => world.rows.restore(copy),
+    }
     for n in 0..80 {
         let answer = CallerRequest::new("GET /look/1", &format!("g{n}")).send(&node).await;
-        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!((answer.status, answer.body.as_str()), (503, "no_endpoint"), "{n}");
         sleep(Duration::from_millis(50)).await;
     }
-    assert_eq!(world.ledger[0].arrivals().len() - before, 0, "requests at an endpoint that left");
 }
 
 // The row of the departure has a lower version than the entry had before the restore.
