--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -54,6 +54,7 @@
         let n = self.failures.get() + 1;
         self.failures.set(n);
         edge.store_failure.set(BootClock.now());
+        decision!("call_failed", "dependency": self.name, "failures": n, "reason": why);
         if n == FAILURES_UNTIL_LOST {
             decision!("dependency_lost", "dependency": self.name, "reason": why);
         }
@@ -71,9 +72,11 @@
 }
 
 async fn call_store(edge: &Edge, request: Request<Full<Bytes>>, wait: Ms) -> Result<StoreAnswer> {
-    let deadline = Instant::now() + CALL_TIMEOUT + wait.to_std();
+    let begun = Instant::now();
+    let deadline = begun + CALL_TIMEOUT + wait.to_std();
     let answer = edge.control_client.fetch(edge.deployment.store, request, deadline).await;
-    let FullResponse { status, headers, body } = answer.map_err(|e| Error::io("store", e))?;
+    let failed = |e| Error::io("store", format!("{e} after {} ms", begun.elapsed().as_millis()));
+    let FullResponse { status, headers, body } = answer.map_err(failed)?;
     let known = edge.store_era.get();
     let era = store::era(&headers).or(known).unwrap_or(0);
     if known.is_some_and(|known| era < known) {
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -281,6 +281,7 @@
                 row.version = row_version::qualify(former, row.version);
             }
             if row.removed {
+                decision!("entry_removed", "endpoint": row.key, "version": row.version);
                 lapsed.entry(Rc::from(row.key)).or_insert(now);
                 continue;
             }
