--- a/standin/src/row_store.rs
+++ b/standin/src/row_store.rs
@@ -49,6 +49,12 @@
     era: u64,
     fault: RowStoreFault,
     calls: u64,
+    /// Number of connections so far.
+    connections: u64,
+    /// Connections with a lower number never deliver another answer.
+    silent_below: u64,
+    /// Number of reads whose answers are still to be lost.
+    lost_reads: u64,
 }
 
 /// A running store.
@@ -73,6 +79,9 @@
             era: FIRST_ERA,
             fault: RowStoreFault::None,
             calls: 0,
+            connections: 0,
+            silent_below: 0,
+            lost_reads: 0,
         }
     }
 }
@@ -213,6 +222,17 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Silences all open connections for good; new ones work.
+    pub fn silence_connections(&self) {
+        let mut state = lock(&self.state);
+        state.silent_below = state.connections;
+    }
+
+    /// Loses the answers of the next reads; their connections stay silent.
+    pub fn lose_reads(&self, count: u64) {
+        lock(&self.state).lost_reads = count;
+    }
+
     /// Keys of the rows of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = lock(&self.state);
@@ -231,11 +251,22 @@
     changed: Arc<Notify>,
     mut connection: Connection,
 ) -> io::Result<()> {
+    let number = {
+        let mut state = lock(&state);
+        state.connections += 1;
+        state.connections - 1
+    };
     while let Some(request) = connection.read_request().await? {
         let fault = {
             let mut state = lock(&state);
             state.calls += 1;
-            state.fault
+            match request.method.as_str() {
+                "GET" if state.lost_reads > 0 => {
+                    state.lost_reads -= 1;
+                    RowStoreFault::Silent
+                }
+                _ => state.fault,
+            }
         };
         let era = |state: &Mutex<State>| format!("Store-Era: {}\r\n", lock(state).era);
         match fault {
@@ -245,7 +276,8 @@
             RowStoreFault::Silent => sleep(Duration::from_secs(600)).await,
             RowStoreFault::None | RowStoreFault::LosesAnswers => {
                 let (status, body) = run_call(&state, &changed, &request).await;
-                if fault == RowStoreFault::LosesAnswers && request.method == "POST" {
+                let lost = fault == RowStoreFault::LosesAnswers && request.method == "POST";
+                if lost || number < lock(&state).silent_below {
                     sleep(Duration::from_secs(600)).await;
                 }
                 connection.write_answer(status, &era(&state), body.to_string().as_bytes()).await?;
--- a/standin/src/test_setup.rs
+++ b/standin/src/test_setup.rs
@@ -39,6 +39,21 @@
     })
 }
 
+/// Returns the operators' document with a further route below `/late/`.
+///
+/// # Panics
+///
+/// Never: the document has routes.
+pub fn document_with_late_route(version: u64) -> Value {
+    let mut document = document(version, &[KEY]);
+    let route = json!({"Name": "late", "Host": HOST, "Prefix": "/late/", "Type": "safe",
+        "TimeoutMs": 4000, "TargetLatencyMs": 600, "Priority": 0, "Service": "ledger",
+        "MaxAttempts": 2, "Public": false, "Sticky": false, "Resumable": false,
+        "GapTargetMs": 400});
+    document["Routes"].as_array_mut().unwrap().push(route);
+    document
+}
+
 /// A store with a document, two plain endpoints and one engine.
 pub struct TestSetup {
     /// Row store.
--- a/tests/edge_restored.rs
+++ b/tests/edge_restored.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use serde_json::{Value, json};
-use standin::caller::{CallerRequest, HOST, KEY, wait_until};
+use serde_json::json;
+use standin::caller::{CallerRequest, KEY, wait_until};
 use standin::endpoint_instance::Instance;
 use standin::node::Node;
 use standin::row_store::{Copy, RowStoreFault};
-use standin::test_setup::{TestSetup, document};
+use standin::test_setup::{TestSetup, document, document_with_late_route};
 use tokio::time::sleep;
 
 /// Time after the store's return from which on all bounds hold, and the bound on a change of the
@@ -20,16 +20,6 @@
 /// A part of prompts, and the key of its row in the quarantine.
 const PART: (&str, &str) = ("ab", "00000000000000ab");
 
-fn document_with_late_route(version: u64) -> Value {
-    let mut document = document(version, &[KEY]);
-    let route = json!({"Name": "late", "Host": HOST, "Prefix": "/late/", "Type": "safe",
-        "TimeoutMs": 4000, "TargetLatencyMs": 600, "Priority": 0, "Service": "ledger",
-        "MaxAttempts": 2, "Public": false, "Sticky": false, "Resumable": false,
-        "GapTargetMs": 400});
-    document["Routes"].as_array_mut().unwrap().push(route);
-    document
-}
-
 /// Raises the store's version by `count`, without a change that nodes read.
 fn raise_version(world: &TestSetup, count: u64) {
     for n in 0..count {
