Repeat reads of the store that go unanswered, within the deployment's bounds

Callers got answers of old routes and of an endpoint that had left, up to 2.6 s after the bound, once the store had returned from an outage in which it accepted calls and answered none.

Cause: a call that is never answered counted as lost after its wait and its time limit, 3.5 + 1.2 s. The pause before the next try and the spacing of the entries' reads came on top; no place added them up. The store answered new calls all the while. Class: time limits chosen one by one under one end-to-end bound.

Change: read_schedule derives wait, spacing, limit and delays from ConfigDeadlineMs, version_ms and DrainMs, so that a silent call and a lost answer together take 3/4 of the bound. An overdue read is repeated on a new connection while the first call goes on; three calls at most. A peer's state is read on a new connection, and another peer is asked next.

--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -22,6 +22,8 @@
 pub struct Bounds {
     /// Longest time for which new requests may reach a draining endpoint.
     pub drain: Ms,
+    /// Longest time until a confirmed configuration is in force.
+    pub config_deadline: Ms,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Ms,
     /// Shortest pause between orders of two holders to the same endpoint.
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -203,6 +203,20 @@
         self.send_on(addr, conn, request, deadline).await.map_err(|(error, _)| error)
     }
 
+    /// Sends a request on a new connection and reads the complete response until `deadline`.
+    ///
+    /// # Errors
+    /// The error states whether the request may have been received.
+    pub async fn fetch_fresh(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<FullResponse, SendError> {
+        let answer = self.send_fresh(addr, request, deadline).await?;
+        answer.read_to_end(deadline).await.map_err(SendError::Unknown)
+    }
+
     /// Sends a request and reads the complete response until `deadline`.
     ///
     /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod queue;
 pub mod quota;
 mod quota_types;
+pub mod read_schedule;
 pub mod refusal_record;
 pub mod refusal_store;
 pub mod refusal_writer;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -86,6 +86,9 @@
         r.number("Bounds.RetryWindowS"),
         r.number("Bounds.RetrySlack"),
     );
+    // Deployments in which the configuration never changes state no bound for it.
+    let config_deadline =
+        root.pointer("/Bounds/ConfigDeadlineMs").and_then(Value::as_f64).map(|n| Ms(n as u64));
     let tolerance = r.number("Bounds.QuotaTolerance");
     let beat = r.millis("HeartbeatMs");
     let mut regions = Map::default();
@@ -112,6 +115,7 @@
             entry_interval: beat?,
             bounds: Bounds {
                 drain: bounds.0?,
+                config_deadline: config_deadline.or(bounds.0)?,
                 grace: Ms((grace? * 1000.0) as u64),
                 handover_pause: bounds.1?,
                 version_delay: bounds.2?,
--- a/src/quarantine_store.rs
+++ b/src/quarantine_store.rs
@@ -22,7 +22,7 @@
 use crate::platform::store::{Change, Outcome, Row};
 use crate::quarantine_list::{DEFAULT_EXPIRY, QuarantineEntry};
 use crate::row_version;
-use crate::store_calls::{Dependency, commit, log_unreadable, read_all};
+use crate::store_calls::{CallMode, Dependency, commit, log_unreadable, read_all};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Table of the quarantined features.
@@ -74,7 +74,9 @@
 /// Reads the rows and brings this node's entries and the rows in line; false if the store was
 /// unavailable.
 async fn synchronize(edge: &Edge, stored: &RefCell<StoredRows>) -> Result<bool> {
-    let Outcome::Done(rows) = read_all(edge, TABLE).await? else { return Ok(false) };
+    let Outcome::Done(rows) = read_all(edge, TABLE, CallMode::PLAIN).await? else {
+        return Ok(false);
+    };
     let now = BootClock.now();
     let watch = &edge.crash_watch;
     let mut found: Set<u64> = Set::default();
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -1,12 +1,17 @@
 //! Calls to the platform's store, with time limits and delays after failures.
+//!
+//! The reads that follow a table are repeated on new connections while they go unanswered; the
+//! first answer counts. See [`crate::read_schedule`].
 
 use std::cell::{Cell, RefCell};
-use std::time::Duration;
+use std::future::Future;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::attempt::Backoff;
 use crate::edge::Edge;
@@ -14,15 +19,12 @@
 use crate::http_client::FullResponse;
 use crate::log_sink::decision;
 use crate::platform::store::{self, Change, Condition, Outcome, Row, Rows};
+use crate::read_schedule::{MAX_CALLS, ReadSchedule};
 use crate::row_version;
 use crate::time::{BootClock, Clock, Ms};
 
-/// Time limit of a call, on top of the wait that it asks the store for.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time for which the store may hold back the answer of a feed without changes. Together
-/// with [`CALL_TIMEOUT`] it bounds how long a silent connection goes unnoticed, which must
-/// stay within the deployment's bound on the delay of a new adapter version.
-const FEED_WAIT: Ms = Ms(3_500);
+/// Time limit of a call that is not part of a [`ReadSchedule`].
+const CALL_TIMEOUT: Ms = Ms(1_200);
 /// Consecutive failed calls after which a dependency counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
 /// Delay after a first failed call; it doubles with each further failure.
@@ -39,7 +41,11 @@
 
 impl Dependency {
     pub(crate) fn new(name: &'static str) -> Self {
-        let backoff = RefCell::new(Backoff::new(FIRST_BACKOFF, MAX_BACKOFF));
+        Self::with_max_backoff(name, MAX_BACKOFF)
+    }
+
+    pub(crate) fn with_max_backoff(name: &'static str, max: Ms) -> Self {
+        let backoff = RefCell::new(Backoff::new(FIRST_BACKOFF.min(max), max));
         Self { name, failures: Cell::new(0), backoff }
     }
 
@@ -51,6 +57,12 @@
     }
 
     pub(crate) async fn on_failure(&self, edge: &Edge, why: &str) {
+        self.record_failure(edge, why);
+        let wait = self.backoff.borrow_mut().next(&mut rand::rng());
+        sleep(wait.to_std()).await;
+    }
+
+    fn record_failure(&self, edge: &Edge, why: &str) {
         let n = self.failures.get() + 1;
         self.failures.set(n);
         edge.store_failure.set(BootClock.now());
@@ -58,8 +70,6 @@
         if n == FAILURES_UNTIL_LOST {
             decision!("dependency_lost", "dependency": self.name, "reason": why);
         }
-        let wait = self.backoff.borrow_mut().next(&mut rand::rng());
-        sleep(wait.to_std()).await;
     }
 }
 
@@ -71,10 +81,34 @@
     era: u64,
 }
 
-async fn call_store(edge: &Edge, request: Request<Full<Bytes>>, wait: Ms) -> Result<StoreAnswer> {
+/// How a call is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallMode {
+    /// Time for which the store may hold back its answer.
+    wait: Ms,
+    /// Time limit on top of `wait`.
+    limit: Ms,
+    /// Whether the call opens a connection of its own.
+    fresh: bool,
+}
+
+impl CallMode {
+    /// A call on a kept connection that is answered at once.
+    pub(crate) const PLAIN: Self = Self { wait: Ms(0), limit: CALL_TIMEOUT, fresh: false };
+}
+
+async fn call_store(
+    edge: &Edge,
+    request: Request<Full<Bytes>>,
+    mode: CallMode,
+) -> Result<StoreAnswer> {
     let begun = Instant::now();
-    let deadline = begun + CALL_TIMEOUT + wait.to_std();
-    let answer = edge.control_client.fetch(edge.deployment.store, request, deadline).await;
+    let deadline = begun + (mode.limit + mode.wait).to_std();
+    let (client, store) = (&edge.control_client, edge.deployment.store);
+    let answer = match mode.fresh {
+        true => client.fetch_fresh(store, request, deadline).await,
+        false => client.fetch(store, request, deadline).await,
+    };
     let failed = |e| Error::io("store", format!("{e} after {} ms", begun.elapsed().as_millis()));
     let FullResponse { status, headers, body } = answer.map_err(failed)?;
     let known = edge.store_era.get();
@@ -86,13 +120,51 @@
     Ok(StoreAnswer { status, body, era })
 }
 
+/// Reads with calls that are repeated on new connections while none is answered, and returns the
+/// first answer. Calls that are under way then are cancelled.
+pub(crate) async fn read_until_answered<T, Fut>(
+    edge: &Edge,
+    dependency: &Dependency,
+    schedule: &ReadSchedule,
+    read: impl Fn(CallMode) -> Fut,
+) -> Result<T>
+where
+    Fut: Future<Output = Result<T>>,
+{
+    let begun = Instant::now();
+    let mut calls = FuturesUnordered::new();
+    let mut mode = CallMode { wait: schedule.wait, limit: schedule.limit, fresh: false };
+    let mut patience = schedule.wait + schedule.overdue;
+    calls.push(read(mode));
+    loop {
+        match timeout(patience.to_std(), calls.next()).await {
+            Ok(Some(Err(e))) if !calls.is_empty() => {
+                dependency.record_failure(edge, &e.to_string())
+            }
+            Ok(Some(answer)) => return answer,
+            Ok(None) => return Err(Error::io("store", "no call is under way")),
+            Err(_) if calls.len() >= MAX_CALLS => {}
+            Err(_) => {
+                let why = format!("overdue after {} ms", begun.elapsed().as_millis());
+                dependency.record_failure(edge, &why);
+                // Other kept connections may be silent as well.
+                edge.control_client.close_idle(edge.deployment.store);
+                mode = CallMode { wait: Ms(0), fresh: true, ..mode };
+                calls.push(read(mode));
+            }
+        }
+        patience = schedule.overdue;
+    }
+}
+
 /// Reads all rows of a table, with the version from which its feed continues.
-pub(crate) async fn read_all(edge: &Edge, table: &str) -> Result<Outcome<Rows>> {
+pub(crate) async fn read_all(edge: &Edge, table: &str, mode: CallMode) -> Result<Outcome<Rows>> {
+    let mode = CallMode { wait: Ms(0), ..mode };
     let mut all: Option<Rows> = None;
     let mut from = String::new();
     loop {
         let request = store::rows_request(table, &from)?;
-        let answer = call_store(edge, request, Ms(0)).await?;
+        let answer = call_store(edge, request, mode).await?;
         let era = answer.era;
         let page = match store::decode_rows(era, answer.status, &answer.body)? {
             Outcome::Done(page) => page,
@@ -113,9 +185,14 @@
     }
 }
 
-pub(crate) async fn read_feed(edge: &Edge, table: &str, after: u64) -> Result<Outcome<Rows>> {
-    let request = store::feed_request(table, after, FEED_WAIT.0)?;
-    let answer = call_store(edge, request, FEED_WAIT).await?;
+pub(crate) async fn read_feed(
+    edge: &Edge,
+    table: &str,
+    after: u64,
+    mode: CallMode,
+) -> Result<Outcome<Rows>> {
+    let request = store::feed_request(table, after, mode.wait.0)?;
+    let answer = call_store(edge, request, mode).await?;
     store::decode_rows(answer.era, answer.status, &answer.body)
 }
 
@@ -133,7 +210,7 @@
         return Ok(Outcome::Refused);
     }
     let request = store::commit_request(changes, conditions);
-    let answer = call_store(edge, request, Ms(0)).await?;
+    let answer = call_store(edge, request, CallMode::PLAIN).await?;
     store::decode_commit(answer.status, &answer.body)
 }
 
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -2,8 +2,9 @@
 //! endpoints' entries, nodes and holders. Also renews the node's lease and claims endpoints.
 //!
 //! Documents and entries are followed by one change feed per table; a table is read again in
-//! full when the feed's history is gone. Each call has a time limit, because a connection can
-//! go silent. Failed calls are retried after a growing, jittered delay.
+//! full when the feed's history is gone. Reads are repeated on new connections while they go
+//! unanswered, because a connection can go silent. Failed calls are retried after a growing,
+//! jittered delay.
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -31,17 +32,17 @@
 use crate::mesh;
 use crate::platform::store::{Change, Condition, Outcome, Row, Rows};
 use crate::platform::{document, entry};
+use crate::read_schedule::ReadSchedule;
 use crate::row_version;
-use crate::store_calls::{CALL_TIMEOUT, Dependency, commit, log_unreadable, read_all, read_feed};
+use crate::store_calls::{
+    CallMode, Dependency, commit, log_unreadable, read_all, read_feed, read_until_answered,
+};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Table of the nodes' leases.
 const NODES_TABLE: &str = "nodes";
 /// Table of the endpoints' holders.
 const HOLDERS_TABLE: &str = "holders";
-/// Reads of the entries' feed within the time in which a leaving endpoint must stop getting
-/// work. The reads are spaced out because entries change all the time.
-const ENTRY_READS_PER_DRAIN: u32 = 2;
 /// Most consecutive membership rounds that skip reading nodes and holders.
 const MAX_ROUNDS_UNREAD: u32 = 4;
 /// Time for which an endpoint whose entry lapsed during a store outage is kept.
@@ -89,14 +90,14 @@
     edge.store_era.get().is_some_and(|era| row_version::era(version) < era)
 }
 
-/// Follows a table: calls `adopt` with all of its rows or with the changed ones, then waits for
-/// `pause`. After a restore of the store, all rows are read again.
-async fn follow_table<F, Fut>(edge: &Edge, table: &'static str, pause: Duration, adopt: F)
+/// Follows a table: calls `adopt` with all of its rows or with the changed ones. After a restore
+/// of the store, all rows are read again.
+async fn follow_table<F, Fut>(edge: &Edge, table: &'static str, schedule: ReadSchedule, adopt: F)
 where
     F: Fn(Rows, Scope) -> Fut,
     Fut: Future<Output = ()>,
 {
-    let dependency = Dependency::new(table);
+    let dependency = Dependency::with_max_backoff(table, schedule.retry);
     let (mut after, mut scope) = (None, Scope::All);
     loop {
         let restored = edge.era_changed.notified();
@@ -104,12 +105,12 @@
             decision!("table_restored", "table": table, "after": row_version::plain(version));
             (after, scope) = (None, Scope::Restored(row_version::era(version)));
         }
-        let read = async {
+        let read = read_until_answered(edge, &dependency, &schedule, |mode| async move {
             match after {
-                None => read_all(edge, table).await,
-                Some(version) => read_feed(edge, table, version).await,
+                None => read_all(edge, table, mode).await,
+                Some(version) => read_feed(edge, table, version, mode).await,
             }
-        };
+        });
         let answer = tokio::select! {
             answer = read => answer,
             () = restored => continue,
@@ -122,7 +123,7 @@
                 }
                 after = Some(rows.version);
                 adopt(rows, std::mem::replace(&mut scope, Scope::Changes)).await;
-                sleep(pause).await;
+                sleep(schedule.pause.to_std()).await;
             }
             // The refusal was the first answer of a restored store.
             Ok(Outcome::Refused) if after.is_some_and(|v| is_of_former_era(edge, v)) => {}
@@ -142,7 +143,8 @@
 
 /// Follows the operators' documents and the adapter versions.
 pub(crate) async fn follow_documents(edge: Rc<Edge>) {
-    follow_table(&edge, document::TABLE, Duration::ZERO, |rows, _| {
+    let schedule = ReadSchedule::of_documents(&edge.deployment.bounds);
+    follow_table(&edge, document::TABLE, schedule, |rows, _| {
         for row in rows.rows {
             on_document(&edge, row);
         }
@@ -209,13 +211,13 @@
 }
 
 /// Interval at which peers' configuration versions are compared with this node's.
-const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Time that the store has to deliver a newer configuration before a peer is asked for it.
-const STORE_HEAD_START: Ms = Ms(400);
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Reads from a peer what the store does not deliver: a newer configuration and, on a start
 /// during a store outage, the endpoints' entries.
 pub(crate) async fn follow_peers(edge: Rc<Edge>) {
+    // The store has the time of an overdue call to deliver a newer configuration first.
+    let schedule = ReadSchedule::of_documents(&edge.deployment.bounds);
     let mut behind_since = None;
     loop {
         sleep(PEER_CHECK_INTERVAL).await;
@@ -223,8 +225,10 @@
         let own = edge.routing.borrow().version;
         let ahead = {
             let peers = edge.peers.borrow();
-            let best = peers.iter().filter(|(_, p)| now.since(p.last_beat) < Ms::secs(1));
-            best.max_by_key(|(_, p)| p.config_version)
+            let heard = peers.iter().filter(|(_, p)| now.since(p.last_beat) < Ms::secs(1));
+            // The one that is asked next time is another one if it does not answer.
+            heard
+                .max_by_key(|(_, p)| (p.config_version, rand::random::<u32>()))
                 .map(|(n, p)| (n.clone(), p.address, p.config_version))
         };
         let Some((name, address, version)) = ahead else { continue };
@@ -233,20 +237,22 @@
             behind_since = None;
             continue;
         }
-        if now.since(*behind_since.get_or_insert(now)) < STORE_HEAD_START {
+        if now.since(*behind_since.get_or_insert(now)) < schedule.overdue {
             continue;
         }
         behind_since = None;
-        if let Err(e) = read_peer(&edge, &name, address).await {
+        let deadline = Instant::now() + schedule.retry.to_std();
+        if let Err(e) = read_peer(&edge, &name, address, deadline).await {
             log::warn!("reading the state of peer {name} failed: {e}");
         }
     }
 }
 
-async fn read_peer(edge: &Edge, name: &str, address: SocketAddr) -> Result<()> {
+async fn read_peer(edge: &Edge, name: &str, address: SocketAddr, deadline: Instant) -> Result<()> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = http::Uri::from_static(mesh::STATE_PATH);
-    let answer = edge.control_client.fetch(address, request, Instant::now() + CALL_TIMEOUT).await;
+    // A kept connection may be silent.
+    let answer = edge.control_client.fetch_fresh(address, request, deadline).await;
     let body = answer.map_err(|e| Error::io(name, e))?.body;
     let state = wire::State::decode(body).map_err(|e| Error::io(name, e))?;
     adopt_document(edge, state.document, name, 0);
@@ -269,8 +275,8 @@
 pub(crate) async fn follow_entries(edge: Rc<Edge>) {
     let lapsed: RefCell<Map<Rc<str>, Ms>> = RefCell::default();
     let unreadable_keys: RefCell<Set<String>> = RefCell::default();
-    let pause = edge.deployment.bounds.drain.to_std() / ENTRY_READS_PER_DRAIN;
-    follow_table(&edge, entry::TABLE, pause, |rows, scope| {
+    let schedule = ReadSchedule::of_entries(&edge.deployment.bounds);
+    follow_table(&edge, entry::TABLE, schedule, |rows, scope| {
         let Rows { rows, version, .. } = rows;
         let now = BootClock.now();
         let mut lapsed = lapsed.borrow_mut();
@@ -375,7 +381,9 @@
 }
 
 async fn read_nodes(edge: &Edge) -> Result<bool> {
-    let Outcome::Done(nodes) = read_all(edge, NODES_TABLE).await? else { return Ok(false) };
+    let Outcome::Done(nodes) = read_all(edge, NODES_TABLE, CallMode::PLAIN).await? else {
+        return Ok(false);
+    };
     let now = BootClock.now();
     let node = |row: &Row| {
         let value: NodeValue = match serde_json::from_slice(&row.value) {
@@ -394,7 +402,9 @@
 }
 
 async fn read_holders(edge: &Edge) -> Result<bool> {
-    let Outcome::Done(holders) = read_all(edge, HOLDERS_TABLE).await? else { return Ok(false) };
+    let Outcome::Done(holders) = read_all(edge, HOLDERS_TABLE, CallMode::PLAIN).await? else {
+        return Ok(false);
+    };
     let now = BootClock.now();
     let holding = |row: &Row| {
         let value: HolderValue = match serde_json::from_slice(&row.value) {
