Count the wait for lapsed entries from the store's return

Cause: an entry that goes within 5 s of any failed call was kept for 2.3 s, since it may have lapsed in the outage. Endpoints that leave by removing their entry cannot be told from those that lapsed but by time.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -32,6 +32,7 @@
 use crate::resend_budget::ResendBudget;
 use crate::routing::Routing;
 use crate::shared_limits::{NodeCounts, SharedLimits};
+use crate::store_health::StoreHealth;
 use crate::time::{BootClock, Clock, Ms, wall_clock};
 use crate::{edge_listeners, mesh, order_executor, quarantine_store, store_watcher};
 
@@ -137,8 +138,10 @@
     pub(crate) restored_at: Cell<Option<Ms>>,
     /// Wakes those that follow the store's tables when the store has been restored.
     pub(crate) era_changed: Notify,
-    /// Instant of the last failed call to the store; 0 if none has failed.
-    pub(crate) store_failure: Cell<Ms>,
+    /// Whether the store answers, and since when.
+    pub(crate) store_health: RefCell<StoreHealth>,
+    /// Endpoints whose entries are gone, each with the version that shows it and when it was read.
+    pub(crate) unlisted: RefCell<Map<Rc<str>, (u64, Ms)>>,
     /// Whether the endpoints' entries have been read at least once.
     pub(crate) entries_read: Cell<bool>,
     pub(crate) stopping: watch::Sender<bool>,
@@ -185,7 +188,8 @@
             store_era: Cell::new(None),
             restored_at: Cell::new(None),
             era_changed: Notify::new(),
-            store_failure: Cell::new(Ms(0)),
+            store_health: RefCell::new(StoreHealth::new(deployment.entry_interval)),
+            unlisted: RefCell::default(),
             entries_read: Cell::new(false),
             stopping: watch::Sender::new(false),
             stopped_at: Cell::new(None),
@@ -237,7 +241,7 @@
         if before.is_some() {
             // Entries may be missing as they are after an outage.
             let now = BootClock.now();
-            self.store_failure.set(now);
+            self.store_health.borrow_mut().on_restored(now);
             self.restored_at.set(Some(now));
             self.holders.borrow_mut().on_restored(now, era);
             self.era_changed.notify_waiters();
@@ -337,6 +341,7 @@
         edge.data_client.close_expired();
         edge.control_client.close_expired();
         edge.departures.borrow_mut().expire(now);
+        store_watcher::remove_unlisted(&edge);
         let table = edge.table.borrow();
         edge.endpoint_limits.borrow_mut().retain(|id| table.get(id).is_some());
         drop(table);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -126,6 +126,7 @@
 pub mod sse;
 pub mod storage;
 mod store_calls;
+pub mod store_health;
 mod store_watcher;
 pub mod takeover;
 pub mod time;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -202,6 +202,11 @@
     request
 }
 
+/// Whether a status means that the store did nothing because it is overloaded or unavailable.
+pub fn is_unavailable(status: StatusCode) -> bool {
+    matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+}
+
 fn decode_outcome<T>(
     status: StatusCode,
     body: &[u8],
@@ -210,7 +215,7 @@
     match status.as_u16() {
         200 => decode(body).map(Outcome::Done),
         410 | 412 => Ok(Outcome::Refused),
-        429 | 503 => Ok(Outcome::Unavailable(status.as_u16())),
+        _ if is_unavailable(status) => Ok(Outcome::Unavailable(status.as_u16())),
         other => Err(Error::platform(SOURCE, format!("status {other}"))),
     }
 }
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -65,7 +65,7 @@
     fn record_failure(&self, edge: &Edge, why: &str) {
         let n = self.failures.get() + 1;
         self.failures.set(n);
-        edge.store_failure.set(BootClock.now());
+        edge.store_health.borrow_mut().on_failure();
         decision!("call_failed", "dependency": self.name, "failures": n, "reason": why);
         if n == FAILURES_UNTIL_LOST {
             decision!("dependency_lost", "dependency": self.name, "reason": why);
@@ -117,6 +117,9 @@
         return Err(Error::platform("store", format!("late answer of the former era {era}")));
     }
     edge.observe_era(era, "store");
+    if !store::is_unavailable(status) {
+        edge.store_health.borrow_mut().on_answer(BootClock.now());
+    }
     Ok(StoreAnswer { status, body, era })
 }
 
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -27,7 +27,7 @@
 use crate::endpoint_table::EndpointEntry;
 use crate::error::{Error, Result};
 use crate::generated::mesh as wire;
-use crate::ids::{Map, Set};
+use crate::ids::Set;
 use crate::log_sink::decision;
 use crate::mesh;
 use crate::platform::store::{Change, Condition, Outcome, Row, Rows};
@@ -45,10 +45,6 @@
 const HOLDERS_TABLE: &str = "holders";
 /// Most consecutive membership rounds that skip reading nodes and holders.
 const MAX_ROUNDS_UNREAD: u32 = 4;
-/// Time for which an endpoint whose entry lapsed during a store outage is kept.
-const LAPSED_ENTRY_GRACE: Ms = Ms(2_300);
-/// Time after the last failed call during which [`LAPSED_ENTRY_GRACE`] applies.
-const OUTAGE_AFTERMATH: Ms = Ms(5_000);
 /// Interval at which a starting node checks whether it has read any endpoints.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// Longest time that a starting node waits for its lease and its endpoints before the first
@@ -269,17 +265,14 @@
     Ok(())
 }
 
-/// Follows the endpoints' entries and removes endpoints without one. During and shortly after
-/// a store outage, endpoints are kept for [`LAPSED_ENTRY_GRACE`], as they may only have been
-/// unable to refresh their entries.
+/// Follows the endpoints' entries and removes endpoints without one.
 pub(crate) async fn follow_entries(edge: Rc<Edge>) {
-    let lapsed: RefCell<Map<Rc<str>, Ms>> = RefCell::default();
     let unreadable_keys: RefCell<Set<String>> = RefCell::default();
     let schedule = ReadSchedule::of_entries(&edge.deployment.bounds);
     follow_table(&edge, entry::TABLE, schedule, |rows, scope| {
         let Rows { rows, version, .. } = rows;
         let now = BootClock.now();
-        let mut lapsed = lapsed.borrow_mut();
+        let mut unlisted = edge.unlisted.borrow_mut();
         let mut present: Set<Rc<str>> = Set::default();
         for mut row in rows {
             if let Scope::Restored(former) = scope {
@@ -288,12 +281,12 @@
             }
             if row.removed {
                 decision!("entry_removed", "endpoint": row.key, "version": row.version);
-                lapsed.entry(Rc::from(row.key)).or_insert(now);
+                unlisted.entry(Rc::from(row.key)).or_insert((row.version, now));
                 continue;
             }
             match entry::decode(&row.key, &row.value) {
                 Ok(entry) => {
-                    lapsed.remove(&entry.id);
+                    unlisted.remove(&entry.id);
                     let encoded = EncodedEntry { value: row.value, version: row.version };
                     edge.entries.borrow_mut().insert(entry.id.clone(), encoded);
                     present.insert(entry.id.clone());
@@ -303,39 +296,44 @@
                     if unreadable_keys.borrow_mut().insert(row.key.clone()) {
                         log_unreadable(&row, &e);
                     }
-                    lapsed.entry(Rc::from(row.key)).or_insert(now);
+                    unlisted.entry(Rc::from(row.key)).or_insert((row.version, now));
                 }
             }
         }
         if scope != Scope::Changes {
             let table = edge.table.borrow();
             for e in table.iter().filter(|e| !present.contains(&e.entry.id)) {
-                lapsed.entry(e.entry.id.clone()).or_insert(now);
+                unlisted.entry(e.entry.id.clone()).or_insert((version, now));
             }
         }
-        let outage = now.since(edge.store_failure.get()) < OUTAGE_AFTERMATH
-            && edge.store_failure.get() > Ms(0);
-        lapsed.retain(|id, at| {
-            if outage && now.since(*at) < LAPSED_ENTRY_GRACE {
-                return true;
-            }
-            edge.entries.borrow_mut().remove(id);
-            let removed = edge.table.borrow_mut().remove(id);
-            if let Some(state) = removed {
-                if !state.entry.leaving {
-                    crash_watch::on_crashed(&edge, id, "its entry lapsed");
-                }
-                decision!("endpoint_gone", "endpoint": &**id, "waited_ms": now.since(*at).0);
-                edge.departures.borrow_mut().record(now, id, version);
-            }
-            false
-        });
+        drop(unlisted);
+        remove_unlisted(&edge);
         edge.entries_read.set(true);
         std::future::ready(())
     })
     .await;
 }
 
+/// Removes endpoints without an entry, unless their entries may only have lapsed in an outage of
+/// the store.
+pub(crate) fn remove_unlisted(edge: &Edge) {
+    let now = BootClock.now();
+    if edge.store_health.borrow().may_come_back(now) {
+        return;
+    }
+    for (id, (version, read_at)) in edge.unlisted.take() {
+        edge.entries.borrow_mut().remove(&id);
+        let removed = edge.table.borrow_mut().remove(&id);
+        if let Some(state) = removed {
+            if !state.entry.leaving {
+                crash_watch::on_crashed(edge, &id, "its entry lapsed");
+            }
+            decision!("endpoint_gone", "endpoint": &*id, "waited_ms": now.since(read_at).0);
+            edge.departures.borrow_mut().record(now, &id, version);
+        }
+    }
+}
+
 /// Takes over an endpoint's entry from its row of the given version.
 fn on_entry(edge: &Edge, entry: EndpointEntry, version: u64) {
     let mut table = edge.table.borrow_mut();
@@ -457,8 +455,8 @@
     };
     // During and after an outage of the store, entries may be missing of endpoints that are not
     // gone.
-    let outage = now.since(edge.store_failure.get()) < UNLISTED_FOR;
-    if due.is_empty() || outage || !edge.entries_read.get() {
+    let disturbed = edge.store_health.borrow().is_disturbed(now, UNLISTED_FOR);
+    if due.is_empty() || disturbed || !edge.entries_read.get() {
         return Ok(());
     }
     let changes: Vec<Change<'_>> = due
--- a/tests/edge_late_changes.rs
+++ b/tests/edge_late_changes.rs
@@ -16,6 +16,8 @@
 const STABLE: Duration = Duration::from_secs(3);
 /// Length of an outage of the store.
 const OUTAGE: Duration = Duration::from_millis(5_300);
+/// Time after an outage at which endpoints have written lapsed entries again.
+const ENTRIES_BACK: Duration = Duration::from_millis(1_800);
 /// Time for which requests are sent after a bound.
 const WATCHED: Duration = Duration::from_secs(3);
 /// Pause between two requests of a caller.
@@ -116,3 +118,25 @@
     sleep(STABLE).await;
     check_changes(&world, &nodes, || world.rows.remove("servers", "i-1")).await;
 }
+
+#[tokio::test]
+async fn endpoints_whose_entries_lapse_in_an_outage_are_kept_until_they_are_back() {
+    let world = TestSetup::start().await;
+    let node = Node::start("late-lapsed", world.store_address()).await;
+    begin_outage(&world);
+    sleep(OUTAGE).await;
+    world.ledger.iter().for_each(|e| world.rows.remove("servers", &e.id));
+    world.rows.set_fault(RowStoreFault::None);
+    let returned = Instant::now();
+    for n in 0.. {
+        let answer = CallerRequest::new("GET /look/1", &format!("b{n}")).send(&node).await;
+        assert_eq!(answer.status, 200, "{answer:?} after {:?}", returned.elapsed());
+        sleep(REQUEST_PAUSE).await;
+        if returned.elapsed() > STABLE {
+            break;
+        }
+        if returned.elapsed() > ENTRIES_BACK {
+            world.ledger.iter().for_each(|e| world.rows.put("servers", &e.id, &e.entry("ready")));
+        }
+    }
+}
