Stop sending to endpoints that say in their answers that they leave

Callers' requests reached an endpoint for as long as its entry said that it was ready, although each of its answers said Server-Leaving: 1 (DRAIN).

Cause: nothing read the header; the state of an endpoint came from its entry alone.

Change: answers to requests, orders and reports mark the endpoint as leaving at once, nodes tell each other by beats, and departures remember it for this incarnation for as long as the entry is listed, however often it is written again.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -28,6 +28,7 @@
 use crate::log_sink::{self, decision};
 use crate::metrics::Metrics;
 use crate::order_planner::OrderPlanner;
+use crate::platform::headers::ResponseHeaders;
 use crate::platform::settings;
 use crate::resend_budget::ResendBudget;
 use crate::routing::Routing;
@@ -326,6 +327,26 @@
         }
     }
 
+    /// Marks an endpoint as leaving because its incarnation that started at `start` said so in an
+    /// answer to the node `source`. An entry of another incarnation is not concerned.
+    pub(crate) fn mark_announced(&self, id: &Rc<str>, start: u64, source: &str) {
+        let mut table = self.table.borrow_mut();
+        let Some(e) = table.get_mut(id).filter(|e| e.entry.started_at == start) else { return };
+        e.gone = true;
+        if self.departures.borrow_mut().announce(BootClock.now(), id, start) {
+            decision!("endpoint_leaving", "endpoint": &**id, "evidence": "its answer",
+                "source": source, "born": start);
+        }
+    }
+
+    /// Takes note of an answer of an endpoint that says that it leaves.
+    pub(crate) fn observe_departure(&self, id: &Rc<str>, answer: &ResponseHeaders) {
+        let start = self.table.borrow().get(id).map(|e| e.entry.started_at);
+        if let Some(start) = start.filter(|_| answer.leaving && answer.is_from(id)) {
+            self.mark_announced(id, start, &self.deployment.node);
+        }
+    }
+
     /// Marks an endpoint as leaving because another instance answered in its place.
     pub(crate) fn mark_replaced(&self, id: &Rc<str>, why: &str) {
         crash_watch::on_crashed(self, id, why);
@@ -340,7 +361,8 @@
         let now = BootClock.now();
         edge.data_client.close_expired();
         edge.control_client.close_expired();
-        edge.departures.borrow_mut().expire(now);
+        let is_listed = |id: &str| edge.table.borrow().get(id).is_some();
+        edge.departures.borrow_mut().expire(now, is_listed);
         store_watcher::remove_unlisted(&edge);
         let table = edge.table.borrow();
         edge.endpoint_limits.borrow_mut().retain(|id| table.get(id).is_some());
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -179,6 +179,10 @@
         limited: stated_limits(edge, now),
         store_era: edge.store_era.get(),
         restored_age: edge.restored_at.get().and_then(|at| u32::try_from(now.since(at).0).ok()),
+        announced: departures
+            .announced()
+            .map(|(id, start)| wire::Announced { endpoint: id.to_string(), start })
+            .collect(),
     }
 }
 
@@ -403,6 +407,9 @@
     for (id, version) in beat.leaving.iter().zip(&beat.leaving_versions) {
         edge.mark_leaving(&Rc::from(id.as_str()), name, *version);
     }
+    for a in &beat.announced {
+        edge.mark_announced(&Rc::from(a.endpoint.as_str()), a.start, name);
+    }
 }
 
 fn on_want(edge: &Edge, now: Ms, node: &str, from: SocketAddr, want: &wire::Want) {
--- a/src/order_executor.rs
+++ b/src/order_executor.rs
@@ -19,6 +19,7 @@
 use crate::log_sink::decision;
 use crate::mesh;
 use crate::order_planner::{OrderPlanner, OrderResult, OrderStep};
+use crate::platform::headers;
 use crate::platform::order::{self, Action, Order, OrderResponse, Report};
 use crate::time::{BootClock, Clock, Ms};
 
@@ -107,7 +108,12 @@
     let address = address.ok_or_else(|| Error::state(id, "not listed"))?;
     let deadline = Instant::now() + time_limit;
     let answer = edge.control_client.fetch_if(address, request, deadline, allowed).await;
-    answer.map_err(|e| Error::io(id, e))
+    let answer = answer.map_err(|e| Error::io(id, e))?;
+    let headers = headers::parse_response(answer.status, &answer.headers);
+    if answer.status != StatusCode::MISDIRECTED_REQUEST {
+        edge.observe_departure(&Rc::from(id), &headers);
+    }
+    Ok(answer)
 }
 
 async fn read_report(edge: &Edge, id: &str) -> Result<Report> {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -20,6 +20,7 @@
 const INSTANCE: HeaderName = HeaderName::from_static("x-instance-id");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -208,6 +209,16 @@
     pub idle_timeout: Option<Ms>,
     /// Requests per second that the endpoint accepts from all nodes together, if stated.
     pub rate_limit: Option<f64>,
+    /// Whether the endpoint says that it is leaving.
+    pub leaving: bool,
+}
+
+impl ResponseHeaders {
+    /// Whether the answer can speak for the endpoint `id`: no other instance at its address sent
+    /// it.
+    pub fn is_from(&self, id: &str) -> bool {
+        self.instance.as_deref().is_none_or(|i| i == id)
+    }
 }
 
 /// Decodes the status and headers of an endpoint's answer.
@@ -228,6 +239,7 @@
         closes,
         idle_timeout: idle,
         rate_limit: limit.filter(|l| l.is_finite() && *l >= 0.0),
+        leaving: header_text(map, &LEAVING).is_some_and(|v| v.trim() == "1"),
     }
 }
 
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -193,11 +193,11 @@
         sent.on_end(RequestOutcome::Broken);
         return Err(SendFailure::Unknown("foreign_answer"));
     }
-    // A limit that another instance states at this address is not the chosen endpoint's.
-    if reply.instance.as_deref().is_none_or(|i| i == &*choice.id) {
+    if reply.is_from(&choice.id) {
         let node = &edge.deployment.node;
         edge.record_limit(&choice.id, BootClock.now(), reply.rate_limit, node);
     }
+    edge.observe_departure(&choice.id, &reply);
     if reply.not_run {
         answer.drain();
         sent.on_answer();
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -347,7 +347,7 @@
     if entry.leaving {
         departures.record(BootClock.now(), &id, version);
     }
-    let gone = departures.overrides(&id, version);
+    let gone = departures.overrides(&id, version, entry.started_at);
     if old.is_none_or(|(_, start)| start != entry.started_at) {
         edge.endpoint_added.notify_one();
     }
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -88,6 +88,8 @@
     crash_trigger: Option<String>,
     /// Requests per second that the endpoint states as its limit in each answer.
     stated_limit: Option<f64>,
+    /// Whether each answer says that the endpoint leaves.
+    announces_leaving: bool,
     /// When each request arrived, whether or not it was run.
     arrivals: Vec<Instant>,
 }
@@ -192,6 +194,11 @@
         lock(&self.state).stated_limit = per_s;
     }
 
+    /// Says in all following answers whether the endpoint leaves.
+    pub fn announce_leaving(&self, leaves: bool) {
+        lock(&self.state).announces_leaving = leaves;
+    }
+
     /// Crashes the endpoint: its listener and its connections close.
     pub fn crash(&self) {
         self.switch.crash();
@@ -240,6 +247,11 @@
         self.model.iter().map(model).collect()
     }
 
+    /// Header of all answers of an endpoint that says that it leaves.
+    fn leaving_notice(&self) -> &'static str {
+        if self.announces_leaving { "Server-Leaving: 1\r\n" } else { "" }
+    }
+
     /// Whether a request crashes the endpoint.
     fn crashes_on(&self, request: &Request) -> bool {
         let Some(trigger) = self.crash_trigger.as_deref() else { return false };
@@ -271,11 +283,13 @@
         match request.path.as_str() {
             "/report" => {
                 let body = load_report(&state);
-                connection.write_answer(200, "", body.to_string().as_bytes()).await?;
+                let notice = lock(&state).leaving_notice();
+                connection.write_answer(200, notice, body.to_string().as_bytes()).await?;
             }
             "/order" => {
                 let status = apply_order(&state, &request);
-                connection.write_answer(status, "", b"").await?;
+                let notice = lock(&state).leaving_notice();
+                connection.write_answer(status, notice, b"").await?;
             }
             _ => {
                 if !answer_request(&host, &state, &mut connection, &request).await? {
@@ -338,12 +352,13 @@
 ) -> io::Result<bool> {
     let Host { id, is_engine, .. } = host;
     let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
-    let limit = {
+    let notices = {
         let mut state = lock(state);
         state.arrivals.push(Instant::now());
-        state.stated_limit.map_or(String::new(), |l| format!("Server-Limit: {l}\r\n"))
+        let limit = state.stated_limit.map(|l| format!("Server-Limit: {l}\r\n"));
+        limit.unwrap_or_default() + state.leaving_notice()
     };
-    let own = format!("X-Instance-Id: {id}\r\nX-Attempt-Id: {attempt}\r\n{limit}");
+    let own = format!("X-Instance-Id: {id}\r\nX-Attempt-Id: {attempt}\r\n{notices}");
     if request.header("x-expect-instance").is_some_and(|i| i != id.as_str()) {
         connection.write_answer(421, &own, b"").await?;
         return Ok(true);
@@ -375,7 +390,7 @@
         at: Instant::now(),
     });
     let named = if fault == EndpointFault::Foreign { "ffff" } else { &attempt };
-    let head = format!("X-Attempt-Id: {named}\r\nX-Server-Seal: seal.{id}.{attempt}\r\n{limit}");
+    let head = format!("X-Attempt-Id: {named}\r\nX-Server-Seal: seal.{id}.{attempt}\r\n{notices}");
     if crashes {
         if *is_engine {
             let start = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n");
