Send nothing to an endpoint for the time that its refusal states

Cause: nothing read Retry-After of an endpoint's 503. An endpoint that refuses at once has the least in flight, so it was preferred, and each request spent a resend.

Change: the time is a state of the endpoint that choice, admission and waiting for adapters see, beside the rate limit that it states; Deferred holds both. If no other endpoint is left, the caller is told at once when to come back.

--- a/src/adapter_wait.rs
+++ b/src/adapter_wait.rs
@@ -28,11 +28,11 @@
         Self { edge, id, adapter }
     }
 
-    /// Whether the adapter is loaded; `None` if the endpoint is unusable or its holder is
-    /// unknown. While it is not, repeats the demand to the holder every [`DEMAND_INTERVAL`].
+    /// Whether the adapter is loaded; `None` if the endpoint is unusable or closed or its holder
+    /// is unknown. While it is not, repeats the demand to the holder every [`DEMAND_INTERVAL`].
     fn check_loaded(&self, now: Ms, version: Option<u64>) -> Option<bool> {
         let mut table = self.edge.table.borrow_mut();
-        let e = table.get_mut(self.id).filter(|e| e.usable())?;
+        let e = table.get_mut(self.id).filter(|e| e.usable() && !e.is_closed(now))?;
         if has_adapter(e, self.adapter, version) {
             return Some(true);
         }
@@ -85,7 +85,7 @@
 pub(crate) enum AdapterWait {
     /// The adapter is loaded.
     InPlace,
-    /// The endpoint is gone, or it has no known holder.
+    /// The endpoint is gone or wants nothing from this node, or it has no known holder.
     Gone,
     /// The time limit expired.
     Late,
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -18,7 +18,7 @@
 use crate::departures::Departures;
 use crate::deployment::Deployment;
 use crate::endpoint_holders::EndpointHolders;
-use crate::endpoint_limits::{EndpointLimit, REQUEST_COST};
+use crate::endpoint_limits::{Deferral, EndpointLimit, REQUEST_COST};
 use crate::endpoint_table::EndpointTable;
 use crate::error::{Error, Result};
 use crate::exposition::Exposition;
@@ -264,20 +264,20 @@
         self.versions.borrow().get(adapter).map(|(v, _)| *v)
     }
 
-    /// Counts a request that is to be sent to an endpoint, and checks that the rate limit that it
-    /// states leaves room for it.
+    /// Counts a request that is to be sent to an endpoint, and checks that the endpoint wants it
+    /// and that the rate limit that it states leaves room for it.
     ///
     /// # Errors
-    /// The time after which the caller may retry.
-    pub(crate) fn check_endpoint_limit(&self, id: &str) -> std::result::Result<(), Ms> {
+    /// Why the endpoint must not get the request now.
+    pub(crate) fn check_endpoint(&self, id: &str) -> std::result::Result<(), Deferral> {
         self.with_endpoint_limit(id, SharedLimits::check)
     }
 
     /// Counts a request that is sent to an endpoint against the rate limit that it states.
     ///
     /// # Errors
-    /// The time after which the caller may retry.
-    pub(crate) fn take_endpoint_limit(&self, id: &str) -> std::result::Result<(), Ms> {
+    /// Why the endpoint must not get the request now.
+    pub(crate) fn take_endpoint(&self, id: &str) -> std::result::Result<(), Deferral> {
         self.with_endpoint_limit(id, SharedLimits::take)
     }
 
@@ -291,12 +291,18 @@
             f64,
             NodeCounts,
         ) -> std::result::Result<(), Ms>,
-    ) -> std::result::Result<(), Ms> {
-        let limit = self.table.borrow().get(id).and_then(EndpointLimit::of);
-        let Some(limit) = limit else { return Ok(()) };
+    ) -> std::result::Result<(), Deferral> {
         let now = BootClock.now();
+        let table = self.table.borrow();
+        let Some(e) = table.get(id) else { return Ok(()) };
+        if e.is_closed(now) {
+            return Err(Deferral::Closed(e.closed_until.since(now)));
+        }
+        let Some(limit) = EndpointLimit::of(e) else { return Ok(()) };
+        drop(table);
         let counts = self.node_counts(now);
         apply(&mut self.endpoint_limits.borrow_mut(), now, &limit, REQUEST_COST, counts)
+            .map_err(Deferral::AtLimit)
     }
 
     /// Records the rate limit that an endpoint states in an answer that arrived at `heard`;
@@ -339,10 +345,20 @@
         }
     }
 
-    /// Takes note of an answer of an endpoint that says that it leaves.
-    pub(crate) fn observe_departure(&self, id: &Rc<str>, answer: &ResponseHeaders) {
-        let start = self.table.borrow().get(id).map(|e| e.entry.started_at);
-        if let Some(start) = start.filter(|_| answer.leaving && answer.is_from(id)) {
+    /// Takes note of an answer in which an endpoint says that it leaves or wants nothing from this
+    /// node for a time.
+    pub(crate) fn observe_answer(&self, id: &Rc<str>, answer: &ResponseHeaders) {
+        let now = BootClock.now();
+        let mut table = self.table.borrow_mut();
+        let Some(e) = table.get_mut(id).filter(|_| answer.is_from(id)) else { return };
+        if let Some(time) = answer.retry_after
+            && e.record_retry_after(now, time)
+        {
+            decision!("endpoint_closed", "endpoint": &**id, "for_ms": time.0);
+        }
+        let start = e.entry.started_at;
+        drop(table);
+        if answer.leaving {
             self.mark_announced(id, start, &self.deployment.node);
         }
     }
--- a/src/endpoint_choice.rs
+++ b/src/endpoint_choice.rs
@@ -53,8 +53,8 @@
     pub domain: &'a str,
     /// Endpoints already tried, which are skipped.
     pub tried: &'a [Rc<str>],
-    /// Endpoints whose rate limit leaves no room, which are skipped.
-    pub at_limit: &'a [Rc<str>],
+    /// Endpoints that must not get a request now, which are skipped.
+    pub deferred: &'a [Rc<str>],
 }
 
 /// The chosen endpoint.
@@ -123,8 +123,8 @@
     pub unusable: usize,
     /// Endpoints that the request was sent to before.
     pub tried: usize,
-    /// Endpoints whose rate limit leaves no room.
-    pub at_limit: usize,
+    /// Endpoints that must not get a request now.
+    pub deferred: usize,
     /// Endpoints that have not loaded the model.
     pub without_model: usize,
 }
@@ -139,8 +139,8 @@
                 counts.unusable += 1;
             } else if request.tried.contains(&e.entry.id) {
                 counts.tried += 1;
-            } else if request.at_limit.contains(&e.entry.id) {
-                counts.at_limit += 1;
+            } else if request.deferred.contains(&e.entry.id) {
+                counts.deferred += 1;
             } else if !has_model(e, request.model) {
                 counts.without_model += 1;
             }
@@ -151,9 +151,9 @@
 
 impl fmt::Display for Exclusions {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { known, unusable, tried, at_limit, without_model } = self;
+        let Self { known, unusable, tried, deferred, without_model } = self;
         write!(f, "known={known} unusable={unusable} tried={tried} ")?;
-        write!(f, "at_limit={at_limit} without_model={without_model}")
+        write!(f, "deferred={deferred} without_model={without_model}")
     }
 }
 
@@ -164,7 +164,7 @@
         let skipped = |ids: &[Rc<str>]| ids.contains(&e.entry.id);
         e.usable()
             && !skipped(request.tried)
-            && !skipped(request.at_limit)
+            && !skipped(request.deferred)
             && has_model(e, request.model)
     };
     let Some(adapter) = request.adapter else {
--- a/src/endpoint_limits.rs
+++ b/src/endpoint_limits.rs
@@ -1,9 +1,11 @@
-//! Rate limits that endpoints state in their answers.
+//! What endpoints ask of their callers in their answers: to keep to a rate limit, and to send
+//! nothing for a time.
 //!
-//! An endpoint accepts that many requests per second from all nodes together. Nodes report in
+//! An endpoint that states a limit accepts that many requests per second from all nodes together. Nodes report in
 //! their beats what the newest answer stated and how many requests they sent, so that a node
 //! also keeps to a limit that only its peers have been told of, and share the rate by
-//! [`SharedLimits`](crate::shared_limits::SharedLimits).
+//! [`SharedLimits`](crate::shared_limits::SharedLimits). The time for which it wants nothing
+//! concerns the node that it answers, see [`EndpointState::closed_until`].
 
 use std::rc::Rc;
 
@@ -52,20 +54,46 @@
     }
 }
 
-/// Endpoints whose limit leaves no room for a request, with the earliest time after which its
-/// caller may retry.
+/// Why an endpoint must not get a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deferral {
+    /// It has asked this node to send nothing for this time.
+    Closed(Ms),
+    /// The rate limit that it states leaves no room for this time.
+    AtLimit(Ms),
+}
+
+impl Deferral {
+    /// Time after which the endpoint may get the request.
+    pub fn after(self) -> Ms {
+        match self {
+            Self::Closed(after) | Self::AtLimit(after) => after,
+        }
+    }
+
+    /// Reason of the refusal of a request that no other endpoint can serve.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Closed(_) => "endpoint_closed",
+            Self::AtLimit(_) => "endpoint_limit",
+        }
+    }
+}
+
+/// Endpoints that must not get a request now, with the deferral that ends first.
 #[derive(Clone, Debug, Default)]
-pub struct AtLimit {
+pub struct Deferred {
     /// Instance IDs of the endpoints.
     pub ids: Vec<Rc<str>>,
-    /// Earliest retry time of them; `None` if there are none.
-    pub retry_after: Option<Ms>,
+    /// The deferral that ends first; `None` if there are no endpoints.
+    pub earliest: Option<Deferral>,
 }
 
-impl AtLimit {
-    /// Adds an endpoint that has room after `after`.
-    pub fn add(&mut self, id: Rc<str>, after: Ms) {
+impl Deferred {
+    /// Adds an endpoint.
+    pub fn add(&mut self, id: Rc<str>, deferral: Deferral) {
         self.ids.push(id);
-        self.retry_after = Some(self.retry_after.map_or(after, |earliest| earliest.min(after)));
+        let earlier = self.earliest.filter(|e| e.after() <= deferral.after());
+        self.earliest = Some(earlier.unwrap_or(deferral));
     }
 }
--- a/src/endpoint_table.rs
+++ b/src/endpoint_table.rs
@@ -141,6 +141,8 @@
     pub gone: bool,
     /// Rate limit that the endpoint states; `None` if it has never stated one.
     pub stated_limit: Option<StatedLimit>,
+    /// Instant until which the endpoint has asked this node to send nothing.
+    pub closed_until: Ms,
 }
 
 impl EndpointState {
@@ -164,9 +166,23 @@
             paused_until: Ms(0),
             gone: false,
             stated_limit: None,
+            closed_until: Ms(0),
         }
     }
 
+    /// Records that the endpoint wants nothing from this node for `time`. Returns whether it had
+    /// not asked for that before.
+    pub fn record_retry_after(&mut self, now: Ms, time: Ms) -> bool {
+        let was_open = !self.is_closed(now);
+        self.closed_until = self.closed_until.max(now + time);
+        was_open && self.is_closed(now)
+    }
+
+    /// Whether the endpoint has asked this node to send nothing at present.
+    pub fn is_closed(&self, now: Ms) -> bool {
+        now < self.closed_until
+    }
+
     /// Records the rate limit stated by an answer that arrived at `heard`; `None` if it states
     /// none. Returns whether the limit has changed.
     pub fn record_limit(&mut self, heard: Ms, rate: Option<f64>) -> bool {
--- a/src/order_executor.rs
+++ b/src/order_executor.rs
@@ -111,7 +111,7 @@
     let answer = answer.map_err(|e| Error::io(id, e))?;
     let headers = headers::parse_response(answer.status, &answer.headers);
     if answer.status != StatusCode::MISDIRECTED_REQUEST {
-        edge.observe_departure(&Rc::from(id), &headers);
+        edge.observe_answer(&Rc::from(id), &headers);
     }
     Ok(answer)
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -24,6 +24,9 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// Longest time for which an endpoint can ask a node to send nothing. A restart ends it sooner.
+const MAX_RETRY_AFTER: Ms = Ms::secs(24 * 60 * 60);
+
 /// Scheme of the `Authorization` header that precedes a caller's key.
 const KEY_SCHEME: &str = "Token ";
 
@@ -211,6 +214,8 @@
     pub rate_limit: Option<f64>,
     /// Whether the endpoint says that it is leaving.
     pub leaving: bool,
+    /// Time for which an endpoint that refuses a request wants nothing from this node.
+    pub retry_after: Option<Ms>,
 }
 
 impl ResponseHeaders {
@@ -229,6 +234,7 @@
         let seconds = v.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
         seconds.parse::<u64>().ok().map(Ms::secs)
     });
+    let refuses = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
     let limit = header_text(map, &RATE_LIMIT).and_then(|v| v.trim().parse::<f64>().ok());
     ResponseHeaders {
         attempt: header_text(map, &ATTEMPT).map(str::to_owned),
@@ -240,6 +246,11 @@
         idle_timeout: idle,
         rate_limit: limit.filter(|l| l.is_finite() && *l >= 0.0),
         leaving: header_text(map, &LEAVING).is_some_and(|v| v.trim() == "1"),
+        retry_after: header_text(map, &header::RETRY_AFTER)
+            .filter(|_| refuses)
+            .and_then(|v| v.trim().parse::<f64>().ok())
+            .filter(|s| s.is_finite() && *s >= 0.0)
+            .map(|s| Ms((s * 1_000.0) as u64).min(MAX_RETRY_AFTER)),
     }
 }
 
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -19,7 +19,7 @@
 use crate::edge::Edge;
 use crate::edge_listeners::text_response;
 use crate::endpoint_choice::{Choice, Exclusions, Requirements, choose};
-use crate::endpoint_limits::AtLimit;
+use crate::endpoint_limits::Deferred;
 use crate::failpoint::{Failpoint, active};
 use crate::ids::stable_hash;
 use crate::platform::headers::{self, RequestHeaders};
@@ -355,14 +355,14 @@
         kv_tokens: engine.map_or(0.0, |e| e.kv_tokens),
         domain: &edge.deployment.domain,
         tried,
-        at_limit: &[],
+        deferred: &[],
     };
-    let mut at_limit = AtLimit::default();
+    let mut deferred = Deferred::default();
     let until = now + Ms((req.answer_time_left().0 as f64 * LOAD_WAIT_SHARE) as u64);
     for _ in 0..MAX_LOAD_ENDPOINTS {
-        let choice = choose_endpoint(edge, req, &requirements, &mut at_limit, log)?;
+        let choice = choose_endpoint(edge, req, &requirements, &mut deferred, log)?;
         let Some(adapter) = adapter.map(Rc::from) else {
-            match take_limit(edge, &choice, &mut at_limit, log) {
+            match take_limit(edge, &choice, &mut deferred, log) {
                 true => return Ok((choice, None)),
                 false => continue,
             }
@@ -376,7 +376,7 @@
         };
         log.add_step(format!("{waited:?} {}", choice.id));
         match waited {
-            AdapterWait::InPlace if !take_limit(edge, &choice, &mut at_limit, log) => {}
+            AdapterWait::InPlace if !take_limit(edge, &choice, &mut deferred, log) => {}
             AdapterWait::InPlace => {
                 if let Some(k) = edge.held.borrow_mut().get_mut(&choice.id) {
                     k.planner.record_use(BootClock.now(), &adapter, None);
@@ -387,46 +387,46 @@
             AdapterWait::Gone => {}
         }
     }
-    Err(limit_refusal(&at_limit)
+    Err(deferral_refusal(&deferred)
         .unwrap_or_else(|| Refusal::unavailable("adapter_not_loaded", DEFAULT_RETRY_AFTER)))
 }
 
-/// The refusal of a request whose endpoints are at their rate limits.
-fn limit_refusal(at_limit: &AtLimit) -> Option<Refusal> {
-    at_limit.retry_after.map(|after| Refusal::unavailable("endpoint_limit", after))
+/// The refusal of a request whose endpoints must not get it now.
+fn deferral_refusal(deferred: &Deferred) -> Option<Refusal> {
+    deferred.earliest.map(|d| Refusal::unavailable(d.reason(), d.after()))
 }
 
 /// Counts a request against the rate limit of the chosen endpoint, or adds the endpoint to those
-/// at their limits.
-fn take_limit(edge: &Edge, choice: &Choice, at_limit: &mut AtLimit, log: &mut RequestLog) -> bool {
-    let taken = edge.take_endpoint_limit(&choice.id);
-    if let Err(after) = taken {
-        log.add_step(format!("at_limit {} after={after}", choice.id));
-        at_limit.add(choice.id.clone(), after);
+/// that must not get it now.
+fn take_limit(edge: &Edge, choice: &Choice, deferred: &mut Deferred, log: &mut RequestLog) -> bool {
+    let taken = edge.take_endpoint(&choice.id);
+    if let Err(deferral) = taken {
+        log.add_step(format!("deferred {} {deferral:?}", choice.id));
+        deferred.add(choice.id.clone(), deferral);
     }
     taken.is_ok()
 }
 
-/// Chooses an endpoint, or refuses the request if its predicted wait is too long or all
-/// endpoints are at their rate limits.
+/// Chooses an endpoint, or refuses the request if its predicted wait is too long or none of the
+/// endpoints may get it now.
 fn choose_endpoint(
     edge: &Rc<Edge>,
     req: &PreparedRequest<'_>,
     requirements: &Requirements<'_>,
-    at_limit: &mut AtLimit,
+    deferred: &mut Deferred,
     log: &mut RequestLog,
 ) -> Result<Choice, Refusal> {
     let choice = loop {
-        let requirements = Requirements { at_limit: &at_limit.ids, ..*requirements };
+        let requirements = Requirements { deferred: &deferred.ids, ..*requirements };
         let Some(choice) = choose(&edge.table.borrow(), BootClock.now(), &requirements) else {
             let excluded = Exclusions::count(&edge.table.borrow(), &requirements);
             log.add_step(format!("no_endpoint {excluded}"));
-            return Err(limit_refusal(at_limit)
+            return Err(deferral_refusal(deferred)
                 .unwrap_or_else(|| Refusal::unavailable("no_endpoint", DEFAULT_RETRY_AFTER)));
         };
-        match edge.check_endpoint_limit(&choice.id) {
+        match edge.check_endpoint(&choice.id) {
             Ok(()) => break choice,
-            Err(after) => at_limit.add(choice.id, after),
+            Err(deferral) => deferred.add(choice.id, deferral),
         }
     };
     if let Admission::Refuse(after) =
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -197,7 +197,7 @@
         let node = &edge.deployment.node;
         edge.record_limit(&choice.id, BootClock.now(), reply.rate_limit, node);
     }
-    edge.observe_departure(&choice.id, &reply);
+    edge.observe_answer(&choice.id, &reply);
     if reply.not_run {
         answer.drain();
         sent.on_answer();
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -88,6 +88,11 @@
     crash_trigger: Option<String>,
     /// Requests per second that the endpoint states as its limit in each answer.
     stated_limit: Option<f64>,
+    /// Seconds for which the endpoint says that it wants nothing, in each refusal; it refuses all
+    /// requests then.
+    retry_after: Option<f64>,
+    /// Attempts refused with a time after which to retry.
+    deferred: Vec<(String, Instant)>,
     /// Whether each answer says that the endpoint leaves.
     announces_leaving: bool,
     /// When each request arrived, whether or not it was run.
@@ -194,6 +199,11 @@
         lock(&self.state).stated_limit = per_s;
     }
 
+    /// Refuses all following requests with this time in seconds after which to retry, or none.
+    pub fn refuse_for(&self, seconds: Option<f64>) {
+        lock(&self.state).retry_after = seconds;
+    }
+
     /// Says in all following answers whether the endpoint leaves.
     pub fn announce_leaving(&self, leaves: bool) {
         lock(&self.state).announces_leaving = leaves;
@@ -219,6 +229,11 @@
         lock(&self.state).arrivals.clone()
     }
 
+    /// Attempts refused with a time after which to retry, and when they arrived.
+    pub fn deferred(&self) -> Vec<(String, Instant)> {
+        lock(&self.state).deferred.clone()
+    }
+
     /// Number of streams and endless answers whose caller closed the connection before their end.
     pub fn aborted_runs(&self) -> usize {
         lock(&self.state).aborted
@@ -378,6 +393,13 @@
         connection.write_answer(421, &own, b"").await?;
         return Ok(true);
     }
+    let retry_after = lock(state).retry_after;
+    if let Some(seconds) = retry_after {
+        lock(state).deferred.push((attempt, Instant::now()));
+        let head = format!("{own}X-Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
+        connection.write_answer(503, &head, b"").await?;
+        return Ok(true);
+    }
     if absent || fault == EndpointFault::Full {
         connection.write_answer(503, &format!("{own}X-Not-Executed: 1\r\n"), b"").await?;
         return Ok(true);
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -134,6 +134,14 @@
     let limits = limits
         .map(|l| headers::parse_response(StatusCode::OK, &map(&[("server-limit", l)])).rate_limit);
     assert_eq!(limits, [Some(2.2), Some(5.0), Some(0.0), None, None, None]);
+    let times =
+        ["2", " 0.5", "0", "-1", "inf", "1e300", "Wed, 21 Oct 2026 07:28:00 GMT"].map(|t| {
+            let head = map(&[("retry-after", t)]);
+            let parsed = headers::parse_response(StatusCode::SERVICE_UNAVAILABLE, &head);
+            assert_eq!(headers::parse_response(StatusCode::OK, &head).retry_after, None);
+            parsed.retry_after.map(|t| t.0)
+        });
+    assert_eq!(times, [Some(2_000), Some(500), Some(0), None, None, Some(86_400_000), None]);
 }
 
 fn config() -> serde_json::Value {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -186,7 +186,7 @@
             kv_tokens: 232_000.0,
             domain: "gent",
             tried: &[],
-            at_limit: &[],
+            deferred: &[],
         };
         let choice = pick(&table, policy, Ms(now), &need);
         let n: usize = choice.id[2..].parse().unwrap();
@@ -245,7 +245,7 @@
         kv_tokens: 0.0,
         domain: "gent",
         tried: &[],
-        at_limit: &[],
+        deferred: &[],
     };
     let mut counts = [0; 3];
     for n in 0..300_u64 {
@@ -282,7 +282,7 @@
         kv_tokens: 0.0,
         domain: "gent",
         tried: &[],
-        at_limit: &[],
+        deferred: &[],
     };
     // The endpoint that has the adapter loaded has a backlog of prompts.
     let held = choose(&table, Ms(0), &need).unwrap().id;
