Check that an endpoint still accepts requests once a connection is established

Found by reading, not reproduced: a request that had chosen an endpoint before its departure was known could still be sent after establishing a connection, which may take 0.7 s of DrainMs. It now counts as not run and goes to another endpoint; the check is the one that orders already have.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -183,7 +183,12 @@
         self.send_fresh_if(addr, request, deadline, || true).await
     }
 
-    async fn send_fresh_if(
+    /// Sends a request on a new connection if `allowed` still holds once it is established; see
+    /// [`HttpClient::send`].
+    ///
+    /// # Errors
+    /// The error states whether the request may have been received.
+    pub async fn send_fresh_if(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -146,10 +146,15 @@
         SentRequest::new(edge, &choice.id, adapter, size, choice.wait_ms, req.features.clone());
     let deadline = Instant::now() + req.time_left().since(RESPONSE_MARGIN).to_std();
     let request = endpoint_request(req, choice, version);
+    // The endpoint may leave, or ask for a pause, while a connection is established.
+    let accepts = || {
+        let table = edge.table.borrow();
+        table.get(&choice.id).is_some_and(|e| e.usable() && !e.is_closed(BootClock.now()))
+    };
     let send = async {
         match again {
-            true => edge.data_client.send_fresh(address, request, deadline).await,
-            false => edge.data_client.send(address, request, deadline).await,
+            true => edge.data_client.send_fresh_if(address, request, deadline, accepts).await,
+            false => edge.data_client.send_if(address, request, deadline, accepts).await,
         }
     };
     let answer = tokio::select! {
@@ -162,7 +167,9 @@
             check_response(edge, req, choice, answer, sent).await
         }
         Err(SendError::Unsent(e)) => {
-            sent.on_end(RequestOutcome::Broken);
+            if accepts() {
+                sent.on_end(RequestOutcome::Broken);
+            }
             log.add_step(format!("unsent {e}"));
             Err(SendFailure::NotRun("not_connected"))
         }
