Repeat reads of the platform that go unanswered in the role serve too

Found by looking for the cause of the late changes elsewhere: a withdrawn key and a leaving endpoint were followed 2.6 to 2.9 s after the change, of 2 s, when the kept connections to the platform were silent.

Cause: as in the role edge. Each read waited out its limit of 2 s, the interval between reads of 1 s came before it, and the document was read after the head row.

Change: the repetition of overdue calls moves to overdue.rs; both roles use it. The role serve repeats reads of the head row, the document and the list of VMs after 125 ms on new connections.

--- a/src/dynamo.rs
+++ b/src/dynamo.rs
@@ -286,6 +286,10 @@
 }
 
 impl Table for DynamoTable {
+    fn close_idle(&self) {
+        self.http.close_idle(self.addr);
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Row>> {
         let body =
             json!({ "TableName": self.table, "Key": self.item_key(key), "ConsistentRead": true });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,7 @@
 mod openai;
 mod order_executor;
 pub mod order_planner;
+pub mod overdue;
 mod owned_endpoint;
 pub mod ownership;
 mod peer_handler;
--- a/src/node_tasks.rs
+++ b/src/node_tasks.rs
@@ -20,7 +20,7 @@
 use crate::node_settings::{ListenAddresses, Settings};
 use crate::refusal_writer;
 use crate::shell::{Ports, Shell};
-use crate::storage::VmList;
+use crate::storage::{Table, VmList, read_repeatedly};
 use crate::time::Ms;
 
 /// Interval of the core's ticks.
@@ -29,8 +29,8 @@
 const VM_LIST_INTERVAL: Duration = Duration::from_millis(1000);
 /// Interval between reads of the configuration's head row.
 ///
-/// A withdrawn key must stop working within 2 s, and heartbeats take up to 0.5 s to
-/// spread a new serial.
+/// A withdrawn key must stop working within 2 s. The rest of that time is for two unanswered calls
+/// each when the head row and then the document are read.
 const HEAD_ROW_INTERVAL: Duration = Duration::from_millis(1000);
 /// Time for which a draining node still accepts connections, until the load balancer
 /// has noticed that it is not ready.
@@ -194,7 +194,8 @@
     let mut ticks = interval(VM_LIST_INTERVAL);
     loop {
         ticks.tick().await;
-        match shell.ports.vms().list().await {
+        let vms = shell.ports.vms();
+        match read_repeatedly("vms", || vms.close_idle(), || vms.list()).await {
             Ok(vms) => {
                 let peers: Vec<_> = vms
                     .iter()
@@ -214,7 +215,9 @@
     let mut ticks = interval(HEAD_ROW_INTERVAL);
     loop {
         ticks.tick().await;
-        match config_store::read_head(shell.ports.table()).await {
+        let table = shell.ports.table();
+        let head = || config_store::read_head(table);
+        match read_repeatedly("head", || table.close_idle(), head).await {
             Ok(Some((head, _))) => shell.clone().fetch_config(head.serial, head.digest).await,
             Ok(None) => log::debug!("no configuration has been applied yet"),
             Err(e) => log::warn!("reading the configuration's head failed: {e}"),
--- a/src/read_schedule.rs
+++ b/src/read_schedule.rs
@@ -6,6 +6,7 @@
 //! left to requests that are on their way to an endpoint.
 
 use crate::deployment::Bounds;
+use crate::overdue::MAX_CALLS;
 use crate::time::Ms;
 
 /// Parts into which a bound is divided.
@@ -62,6 +63,3 @@
         self.limit.since(Ms((MAX_CALLS as u64 - 1) * self.overdue.0)).max(self.overdue)
     }
 }
-
-/// Most calls of one read that are under way at the same time.
-pub const MAX_CALLS: usize = 3;
--- a/src/s3.rs
+++ b/src/s3.rs
@@ -98,6 +98,10 @@
 }
 
 impl Objects for S3Objects {
+    fn close_idle(&self) {
+        self.http.close_idle(self.addr);
+    }
+
     async fn put_new(&self, name: &str, body: Bytes) -> Result<bool> {
         let response = self.send(Method::PUT, &self.path(name), body, true).await?;
         match response.status {
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -36,7 +36,7 @@
 use crate::refusal_record::{Recorder, RefusalRecord, RefusalRunStatus};
 use crate::request_types::{AnswerTiming, Caller};
 use crate::service_client::Service;
-use crate::storage::{Objects, Table, VmList};
+use crate::storage::{Objects, Table, VmList, read_repeatedly};
 use crate::takeover::ProbeResult;
 use crate::time::{Clock, Ms, wall_clock};
 
@@ -506,7 +506,9 @@
         if !newer(&self.config.borrow()) {
             return;
         }
-        let text = match config_store::read_document(self.ports.objects(), &digest).await {
+        let objects = self.ports.objects();
+        let read = || config_store::read_document(objects, &digest);
+        let text = match read_repeatedly("objects", || objects.close_idle(), read).await {
             Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
             Err(e) => return log::warn!("reading configuration {serial} failed: {e}"),
         };
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -6,10 +6,18 @@
 //! outcome is unknown, because a response can be lost after the write took effect.
 
 use std::future::Future;
+use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::time::timeout;
 
-use crate::error::Result;
+use crate::error::{Error, Result};
+use crate::overdue::{CallTrouble, first_answer};
+
+/// Time after which a read that is not answered is repeated.
+const READ_OVERDUE: Duration = Duration::from_millis(125);
+/// Time limit of a read that is repeated.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum number of writes in one transaction.
 pub const MAX_TXN_WRITES: usize = 100;
@@ -115,6 +123,9 @@
     /// # Errors
     /// Fails when no response arrives; the outcome is then unknown.
     fn commit(&self, txn: &Txn) -> impl Future<Output = Result<Commit>> + Send;
+
+    /// Closes idle connections to the service, which may be silent.
+    fn close_idle(&self) {}
 }
 
 /// Object store.
@@ -136,6 +147,9 @@
     /// # Errors
     /// Fails when the service does not respond.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<String>>> + Send;
+
+    /// Closes idle connections to the service, which may be silent.
+    fn close_idle(&self) {}
 }
 
 /// Entry of the platform's list of VMs.
@@ -159,4 +173,34 @@
     /// # Errors
     /// Fails when the service does not respond.
     fn list(&self) -> impl Future<Output = Result<Vec<Vm>>> + Send;
+
+    /// Closes idle connections to the service, which may be silent.
+    fn close_idle(&self) {}
+}
+
+/// Reads from the platform, repeatedly on new connections while the calls are not answered.
+/// `close_idle` closes connections that may be silent.
+///
+/// # Errors
+/// The error of the last call under way.
+pub(crate) async fn read_repeatedly<T, Fut>(
+    what: &str,
+    close_idle: impl Fn(),
+    read: impl Fn() -> Fut,
+) -> Result<T>
+where
+    Fut: Future<Output = Result<T>>,
+{
+    let call = |_| {
+        let answer = timeout(READ_TIMEOUT, read());
+        async move { answer.await.unwrap_or_else(|_| Err(Error::io(what, "no answer in time"))) }
+    };
+    first_answer(READ_OVERDUE, READ_OVERDUE, call, |trouble| match trouble {
+        CallTrouble::Overdue(waited) => {
+            log::debug!("{what}: no answer after {waited:?}; calling again");
+            close_idle();
+        }
+        CallTrouble::Failed(e) => log::debug!("{what}: a call failed: {e}"),
+    })
+    .await
 }
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -7,19 +7,18 @@
 use std::future::Future;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::attempt::Backoff;
 use crate::edge::Edge;
 use crate::error::{Error, Result};
 use crate::http_client::FullResponse;
 use crate::log_sink::decision;
+use crate::overdue::{CallTrouble, first_answer};
 use crate::platform::store::{self, Change, Condition, Outcome, Row, Rows};
-use crate::read_schedule::{MAX_CALLS, ReadSchedule};
+use crate::read_schedule::ReadSchedule;
 use crate::row_version;
 use crate::time::{BootClock, Clock, Ms};
 
@@ -134,30 +133,20 @@
 where
     Fut: Future<Output = Result<T>>,
 {
-    let begun = Instant::now();
-    let mut calls = FuturesUnordered::new();
-    let mut mode = CallMode { wait: schedule.wait, limit: schedule.limit, fresh: false };
-    let mut patience = schedule.wait + schedule.overdue;
-    calls.push(read(mode));
-    loop {
-        match timeout(patience.to_std(), calls.next()).await {
-            Ok(Some(Err(e))) if !calls.is_empty() => {
-                dependency.record_failure(edge, &e.to_string())
-            }
-            Ok(Some(answer)) => return answer,
-            Ok(None) => return Err(Error::io("store", "no call is under way")),
-            Err(_) if calls.len() >= MAX_CALLS => {}
-            Err(_) => {
-                let why = format!("overdue after {} ms", begun.elapsed().as_millis());
-                dependency.record_failure(edge, &why);
-                // Other kept connections may be silent as well.
-                edge.control_client.close_idle(edge.deployment.store);
-                mode = CallMode { wait: Ms(0), fresh: true, ..mode };
-                calls.push(read(mode));
-            }
+    let overdue = schedule.overdue.to_std();
+    let call = |made| {
+        let wait = if made == 0 { schedule.wait } else { Ms(0) };
+        read(CallMode { wait, limit: schedule.limit, fresh: made > 0 })
+    };
+    first_answer(schedule.wait.to_std() + overdue, overdue, call, |trouble| match trouble {
+        CallTrouble::Overdue(waited) => {
+            dependency.record_failure(edge, &format!("overdue after {} ms", waited.as_millis()));
+            // Other kept connections may be silent as well.
+            edge.control_client.close_idle(edge.deployment.store);
         }
-        patience = schedule.overdue;
-    }
+        CallTrouble::Failed(e) => dependency.record_failure(edge, &e.to_string()),
+    })
+    .await
 }
 
 /// Reads all rows of a table, with the version from which its feed continues.
--- a/src/vm_list.rs
+++ b/src/vm_list.rs
@@ -30,6 +30,10 @@
 }
 
 impl VmList for HttpVms {
+    fn close_idle(&self) {
+        self.http.close_idle(self.addr);
+    }
+
     async fn list(&self) -> Result<Vec<Vm>> {
         let req = build_request(Method::GET, "/vms", Bytes::new())
             .map_err(|e| Error::input(SERVICE, e))?;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -32,6 +32,9 @@
 /// Largest accepted request body.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Longer than any caller waits.
+const NEVER: Duration = Duration::from_secs(600);
+
 /// Burst size of the rate limits, as the requests of this many seconds.
 const BURST_SECONDS: f64 = 0.25;
 
@@ -74,6 +77,10 @@
     pub slow_ms: Option<u64>,
     /// Number of answers that are lost after the request has taken effect.
     pub lose_answers: Option<u32>,
+    /// Accepts requests without effect and never answers them, also not after the fault.
+    pub silent: Option<bool>,
+    /// Silences the open connections of all services for good; new ones work.
+    pub silence: bool,
 }
 
 /// Services in the order of `State::faults`.
@@ -84,6 +91,7 @@
     outage: bool,
     delay: Duration,
     lost_answers: u32,
+    silent: bool,
 }
 
 /// Token bucket of a rate limit.
@@ -192,12 +200,16 @@
     pub fn apply_fault(&self, fault: &PlatformFault) -> bool {
         let mut state = self.state();
         let mut found = false;
+        if fault.silence {
+            self.0.connections.silence();
+        }
         for (name, faults) in SERVICES.iter().zip(&mut state.faults) {
             if fault.service.as_deref().is_none_or(|service| service == *name) {
                 found = true;
                 faults.outage = fault.outage.unwrap_or(faults.outage);
                 faults.delay = fault.slow_ms.map_or(faults.delay, Duration::from_millis);
                 faults.lost_answers = fault.lose_answers.unwrap_or(faults.lost_answers);
+                faults.silent = fault.silent.unwrap_or(faults.silent);
             }
         }
         found
@@ -359,6 +371,9 @@
                 self.0.connections.cut(peer);
             }
         };
+        if faults.silent {
+            sleep(NEVER).await;
+        }
         if faults.outage {
             close(peer);
             return Ok(Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).finish());
