Log the software version of chosen endpoints and the stream that a request resumes

The log of a request could not tell streams that went on at another software version. The stand-in's endpoints state a version and go on after Last-Event-Id. No decision changes.

--- a/src/endpoint_table.rs
+++ b/src/endpoint_table.rs
@@ -26,6 +26,8 @@
     pub id: Rc<str>,
     /// Service that the endpoint belongs to.
     pub service: Rc<str>,
+    /// Version of the endpoint's software; empty if it states none.
+    pub software: Rc<str>,
     /// Address for requests.
     pub address: SocketAddr,
     /// Failure domain.
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -16,6 +16,9 @@
 #[serde(rename_all = "PascalCase")]
 struct WireEntry {
     service: String,
+    // Version of the endpoint's software.
+    #[serde(default)]
+    version: String,
     address: SocketAddr,
     zone: String,
     slots: usize,
@@ -71,6 +74,7 @@
     Ok(EndpointEntry {
         id: Rc::from(id),
         service: Rc::from(wire.service),
+        software: Rc::from(wire.version),
         address: wire.address,
         domain: wire.zone,
         slots: wire.slots,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -19,6 +19,7 @@
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 const INSTANCE: HeaderName = HeaderName::from_static("x-instance-id");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -89,6 +90,8 @@
     pub host: String,
     /// Event after which a stream is resumed.
     pub last_event: Option<String>,
+    /// Attempt that brought the first event of the stream that is resumed.
+    pub resumes: Option<String>,
 }
 
 fn header_text<'a>(map: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
@@ -120,6 +123,7 @@
         length_hint: header_text(map, &LENGTH_HINT).and_then(|t| t.trim().parse().ok()),
         host: header_text(map, &header::HOST).unwrap_or_default().to_owned(),
         last_event: header_text(map, &LAST_EVENT).map(str::to_owned),
+        resumes: header_text(map, &RESUMES).map(str::to_owned),
     }
 }
 
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -34,6 +34,8 @@
     pub(crate) cost: f64,
     /// Parts of its prompt.
     pub(crate) parts: Vec<PromptPart>,
+    /// Attempt whose stream it resumes, if any.
+    pub(crate) resumes: Option<String>,
     /// Steps of its processing, each with its time in ms and its inputs.
     pub(crate) steps: Vec<String>,
     first_event: Option<Ms>,
@@ -53,6 +55,7 @@
             config: edge.routing.borrow().version,
             cost: 0.0,
             parts: Vec::new(),
+            resumes: None,
             steps: Vec::new(),
             first_event: None,
             outcome: None,
@@ -112,7 +115,7 @@
         self.count_metrics(outcome, &why, took);
         decision!("request", "id": self.attempt, "route": self.route.as_deref(),
             "team": self.team.as_deref(), "config": self.config, "steps": self.steps,
-            "cost": self.cost, "parts": self.failed_parts(outcome), "status": self.status, "outcome": outcome, "why": why,
+            "cost": self.cost, "resumes": self.resumes, "parts": self.failed_parts(outcome), "status": self.status, "outcome": outcome, "why": why,
             "first_ms": self.first_event.map(|ms| ms.0), "took_ms": took);
     }
 }
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -77,6 +77,7 @@
     let attempt = parsed.attempt.clone().unwrap_or_default();
     let mut log = RequestLog::new(&edge, &attempt);
     log.parts.clone_from(&parsed.prompt_parts);
+    log.resumes.clone_from(&parsed.resumes);
     let stopping = *edge.stopping.borrow();
     let mut response = match serve_request(&edge, request, &parsed, &mut log).await {
         Ok(ProxyResponse::Whole(response)) => {
@@ -440,11 +441,15 @@
         ));
         return Err(Refusal::unavailable("overload", after));
     }
-    let limit = edge.table.borrow().get(&choice.id).and_then(|e| e.stated_limit?.rate);
+    let table = edge.table.borrow();
+    let chosen = table.get(&choice.id);
+    let software = chosen.map_or("", |e| &*e.entry.software);
+    let limit = chosen.and_then(|e| e.stated_limit?.rate);
     let limit = limit.map_or(String::new(), |l| format!(" limit={l}"));
     log.add_step(format!(
-        "chose {} wait={:.0} load={}{limit}",
+        "chose {} software={software} wait={:.0} load={}{limit}",
         choice.id, choice.wait_ms, choice.needs_load
     ));
+    drop(table);
     Ok(choice)
 }
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -93,6 +93,8 @@
     retry_after: Option<f64>,
     /// Attempts refused with a time after which to retry.
     deferred: Vec<(String, Instant)>,
+    /// Version of the software.
+    software: String,
     /// Whether each answer says that the endpoint leaves.
     announces_leaving: bool,
     /// When each request arrived, whether or not it was run.
@@ -132,8 +134,12 @@
     ///
     /// Fails if no address can be bound.
     pub async fn start_empty(id: &str, service: &str, is_engine: bool) -> io::Result<Self> {
-        let state =
-            State { event_count: 3, event_pause: Duration::from_millis(5), ..State::default() };
+        let state = State {
+            event_count: 3,
+            event_pause: Duration::from_millis(5),
+            software: "v1".to_owned(),
+            ..State::default()
+        };
         let (state, switch) = (Arc::new(Mutex::new(state)), CrashSwitch::default());
         let host = Host { id: id.to_owned(), is_engine, switch: switch.clone() };
         let s = state.clone();
@@ -151,10 +157,13 @@
 
     /// The entry with which the endpoint registers itself, in the given state.
     pub fn entry(&self, state: &str) -> Value {
-        let models = lock(&self.state).models();
+        let (models, software) = {
+            let state = lock(&self.state);
+            (state.models(), state.software.clone())
+        };
         json!({
             "Service": self.service, "Address": self.address().to_string(), "Zone": "gent",
-            "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
+            "Version": software, "Slots": 8, "State": state, "ColdRemainingMs": 0,
             "Models": models, "Sequence": 1, "born": 1_700_000_000_000_u64,
         })
     }
@@ -209,6 +218,11 @@
         lock(&self.state).announces_leaving = leaves;
     }
 
+    /// Sets the version of the software.
+    pub fn set_software(&self, version: &str) {
+        lock(&self.state).software = version.to_owned();
+    }
+
     /// Crashes the endpoint: its listener and its connections close.
     pub fn crash(&self) {
         self.switch.crash();
@@ -462,7 +476,11 @@
                 connection.write_answer(200, &head, b"second answer").await?;
             }
         }
-        _ => return send_stream(state, connection, &head, event_count, event_pause).await,
+        _ => {
+            let first = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+            let events = first.map_or(0, |last| last + 1)..event_count;
+            return send_stream(state, connection, &head, events, event_pause).await;
+        }
     }
     Ok(true)
 }
@@ -490,12 +508,12 @@
     state: &Mutex<State>,
     connection: &mut Connection,
     head: &str,
-    event_count: u64,
+    events: std::ops::Range<u64>,
     event_pause: Duration,
 ) -> io::Result<bool> {
     let start = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n");
     connection.write(start.as_bytes()).await?;
-    for n in 0..event_count {
+    for n in events {
         let event = format!("id: {n}\ndata: token\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         tokio::select! {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -34,6 +34,7 @@
         ("x-deadline-ms", "6000.5"),
         ("x-length-hint", "44"),
         ("authorization", "Token key"),
+        ("resumes", "9c40"),
     ]));
     insta::assert_debug_snapshot!(ask, @r#"
     RequestHeaders {
@@ -69,6 +70,9 @@
         ),
         host: "desk.example:80",
         last_event: None,
+        resumes: Some(
+            "9c40",
+        ),
     }
     "#);
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -27,6 +27,7 @@
 fn entry(id: &str, service: &str, slots: usize) -> EndpointEntry {
     let address: SocketAddr = "10.0.0.1:80".parse().unwrap();
     EndpointEntry {
+        software: Rc::from("v1"),
         id: Rc::from(id),
         service: Rc::from(service),
         address,
