--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -89,6 +89,46 @@
     Some(Answer { status, headers, body, whole })
 }
 
+/// Events of a stream as received.
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    /// Status code; 0 if no answer began.
+    pub status: u16,
+    /// Seal of the endpoint that answered; empty if there is none.
+    pub seal: String,
+    /// Ids of the complete events.
+    pub ids: Vec<u64>,
+    /// Whether the stream is complete.
+    pub whole: bool,
+}
+
+/// Sends bytes on a new connection and reads a stream of events until it ends or breaks.
+pub async fn read_events(to: SocketAddr, request: &[u8]) -> Events {
+    let mut bytes = Vec::new();
+    let read = async {
+        let Ok(mut stream) = TcpStream::connect(to).await else { return };
+        if stream.write_all(request).await.is_ok() {
+            while !bytes.ends_with(b"0\r\n\r\n") && read_more(&mut stream, &mut bytes).await {}
+        }
+    };
+    // What has arrived by then counts.
+    let _ = timeout(WAIT_LIMIT, read).await;
+    let text = String::from_utf8_lossy(&bytes);
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    let seal = head
+        .lines()
+        .find_map(|l| l.to_ascii_lowercase().strip_prefix("x-server-seal: ").map(str::to_owned));
+    let body = body.replace("\r\n", "");
+    let events = body.split_inclusive("\n\n").filter(|e| e.ends_with("\n\n"));
+    let id = |e: &str| e.split_once("id: ")?.1.split_once('\n')?.0.parse().ok();
+    Events {
+        status: head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0),
+        seal: seal.unwrap_or_default(),
+        ids: events.filter_map(id).collect(),
+        whole: bytes.ends_with(b"0\r\n\r\n"),
+    }
+}
+
 /// Appends received bytes to `bytes`; `false` at the end of the connection.
 async fn read_more(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> bool {
     let mut chunk = [0; 4096];
