Take up streams only at the software version that began them

Cause: a take-up was placed like a new request. Nothing read Resumes nor the Version of an endpoint's entry, and nothing outlived the node that a stream had begun through. Class: state of a caller's session kept at one process, or nowhere.

While one version serves nothing is written. What cannot be known is refused at once with 503; versions of mixed services travel by beats.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -34,8 +34,10 @@
 use crate::routing::Routing;
 use crate::shared_limits::{NodeCounts, SharedLimits};
 use crate::store_health::StoreHealth;
+use crate::stream_origins::StreamOrigins;
+use crate::stream_store::BatchReader;
 use crate::time::{BootClock, Clock, Ms, wall_clock};
-use crate::{edge_listeners, mesh, order_executor, quarantine_store, store_watcher};
+use crate::{edge_listeners, mesh, order_executor, quarantine_store, store_watcher, stream_store};
 
 /// Shortest time from SIGTERM to exit. The balancer stops sending connections only after
 /// two failed checks, one second apart.
@@ -130,6 +132,9 @@
     /// Client for the store, peers and orders. It is separate because an order without an
     /// answer must not close connections that carry requests.
     pub(crate) control_client: HttpClient,
+    /// Which software versions began recent streams.
+    pub(crate) streams: RefCell<StreamOrigins>,
+    pub(crate) batch_reader: BatchReader,
     /// Crashes of endpoints and the requests that cause them.
     pub(crate) crash_watch: CrashWatch,
     pub(crate) socket: UdpSocket,
@@ -184,6 +189,8 @@
             endpoint_added: Notify::new(),
             data_client: HttpClient::new(client_settings),
             control_client: HttpClient::new(client_settings),
+            streams: RefCell::new(StreamOrigins::new(now)),
+            batch_reader: BatchReader::default(),
             crash_watch: CrashWatch::default(),
             socket,
             store_era: Cell::new(None),
@@ -317,6 +324,15 @@
         }
     }
 
+    /// Takes note of the software versions that serve, and forgets streams of the past.
+    pub(crate) fn observe_software(&self, now: Ms) {
+        let mut streams = self.streams.borrow_mut();
+        for e in self.table.borrow().iter() {
+            streams.observe(&e.origin(), now);
+        }
+        streams.expire(now);
+    }
+
     /// Marks an endpoint as leaving because of `why`, which is not its entry, unless its entry
     /// is newer than this news of the given version.
     pub(crate) fn mark_leaving(&self, id: &Rc<str>, why: &str, version: u64) {
@@ -380,6 +396,7 @@
         let is_listed = |id: &str| edge.table.borrow().get(id).is_some();
         edge.departures.borrow_mut().expire(now, is_listed);
         store_watcher::remove_unlisted(&edge);
+        edge.observe_software(now);
         let table = edge.table.borrow();
         edge.endpoint_limits.borrow_mut().retain(|id| table.get(id).is_some());
         drop(table);
@@ -441,6 +458,7 @@
     spawn_local(order_executor::manage_workers(edge.clone()));
     spawn_local(quarantine_store::follow_quarantine(edge.clone()));
     spawn_local(crash_watch::weigh_evidence(edge.clone()));
+    spawn_local(stream_store::write_streams(edge.clone()));
     spawn_local(housekeeping(edge.clone()));
     let signal = |kind| tokio::signal::unix::signal(kind).map_err(|e| Error::io("signals", e));
     let mut term = signal(tokio::signal::unix::SignalKind::terminate())?;
--- a/src/edge_listeners.rs
+++ b/src/edge_listeners.rs
@@ -21,7 +21,7 @@
 use crate::request_proxy::DEFAULT_CALLER_IDLE;
 use crate::response_body::ResponseBody;
 use crate::time::{BootClock, Clock};
-use crate::{mesh, request_proxy};
+use crate::{mesh, request_proxy, stream_store};
 
 /// Connections that the kernel queues until they are accepted.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -190,7 +190,11 @@
             edge.metrics.owned(edge.held.borrow().len() as u64);
             bytes_response(Bytes::from(edge.exposition.text()))
         }
-        _ => text_response(StatusCode::NOT_FOUND, ""),
+        _ => {
+            let stream = path.strip_prefix(stream_store::STREAM_PATH);
+            let origin = stream.and_then(|id| stream_store::encode_origin(&edge, id));
+            origin.map_or_else(|| text_response(StatusCode::NOT_FOUND, ""), bytes_response)
+        }
     };
     serve_paths(listener, "peer", answer).await;
 }
--- a/src/endpoint_choice.rs
+++ b/src/endpoint_choice.rs
@@ -45,6 +45,8 @@
     pub adapter: Option<&'a str>,
     /// Version that the adapter must have.
     pub version: Option<u64>,
+    /// Version of the endpoint's software, if the request takes up a stream.
+    pub software: Option<&'a str>,
     /// Prompt tokens of the request.
     pub prompt_tokens: f64,
     /// Tokens that fit into an endpoint's KV cache; 0 if unknown.
@@ -114,6 +116,10 @@
     model.is_none_or(|m| e.entry.models.iter().any(|loaded| &**loaded == m))
 }
 
+fn has_software(e: &EndpointState, software: Option<&str>) -> bool {
+    software.is_none_or(|version| version == &*e.entry.software)
+}
+
 /// Numbers of a service's endpoints by the first reason that excludes them, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Exclusions {
@@ -125,6 +131,8 @@
     pub tried: usize,
     /// Endpoints that must not get a request now.
     pub deferred: usize,
+    /// Endpoints of another software version than the one that began the stream.
+    pub other_software: usize,
     /// Endpoints that have not loaded the model.
     pub without_model: usize,
 }
@@ -141,6 +149,8 @@
                 counts.tried += 1;
             } else if request.deferred.contains(&e.entry.id) {
                 counts.deferred += 1;
+            } else if !has_software(e, request.software) {
+                counts.other_software += 1;
             } else if !has_model(e, request.model) {
                 counts.without_model += 1;
             }
@@ -151,9 +161,10 @@
 
 impl fmt::Display for Exclusions {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { known, unusable, tried, deferred, without_model } = self;
+        let Self { known, unusable, tried, deferred, other_software, without_model } = self;
         write!(f, "known={known} unusable={unusable} tried={tried} ")?;
-        write!(f, "deferred={deferred} without_model={without_model}")
+        write!(f, "deferred={deferred} other_software={other_software} ")?;
+        write!(f, "without_model={without_model}")
     }
 }
 
@@ -165,6 +176,7 @@
         e.usable()
             && !skipped(request.tried)
             && !skipped(request.deferred)
+            && has_software(e, request.software)
             && has_model(e, request.model)
     };
     let Some(adapter) = request.adapter else {
--- a/src/endpoint_table.rs
+++ b/src/endpoint_table.rs
@@ -8,6 +8,7 @@
 
 use crate::failpoint::{Failpoint, active};
 use crate::ids::Map;
+use crate::stream_origins::Origin;
 use crate::time::Ms;
 
 /// An adapter in a given version.
@@ -185,6 +186,12 @@
         now < self.closed_until
     }
 
+    /// Where streams that this endpoint begins come from.
+    pub fn origin(&self) -> Origin {
+        let EndpointEntry { service, software, .. } = &self.entry;
+        Origin { service: service.clone(), software: software.clone() }
+    }
+
     /// Records the rate limit stated by an answer that arrived at `heard`; `None` if it states
     /// none. Returns whether the limit has changed.
     pub fn record_limit(&mut self, heard: Ms, rate: Option<f64>) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -129,6 +129,8 @@
 mod store_calls;
 pub mod store_health;
 mod store_watcher;
+pub mod stream_origins;
+mod stream_store;
 pub mod takeover;
 pub mod time;
 pub mod toml_fields;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -20,6 +20,7 @@
 use crate::log_sink::decision;
 use crate::order_planner::AdapterDemand;
 use crate::shared_limits::{BEAT_INTERVAL, LimitUsage, SILENT_AFTER};
+use crate::stream_origins::Origin;
 use crate::time::{BootClock, Clock, Ms};
 
 /// Largest datagram received.
@@ -156,6 +157,19 @@
     }
 }
 
+/// Software versions of services of which several have served recently.
+fn seen_software(edge: &Edge, now: Ms) -> Vec<wire::SeenSoftware> {
+    let streams = edge.streams.borrow();
+    let mixed = streams.mixed(now);
+    mixed
+        .map(|(origin, age)| wire::SeenSoftware {
+            service: origin.service.to_string(),
+            software: origin.software.to_string(),
+            age: u32::try_from(age.0).unwrap_or(u32::MAX),
+        })
+        .collect()
+}
+
 fn build_beat(edge: &Edge, now: Ms) -> wire::Beat {
     let limits = edge.team_limits.borrow();
     let spent = limits.usage(now).map(|(team, s)| wire::Spent {
@@ -183,6 +197,7 @@
             .announced()
             .map(|(id, start)| wire::Announced { endpoint: id.to_string(), start })
             .collect(),
+        software: seen_software(edge, now),
     }
 }
 
@@ -407,6 +422,11 @@
     for (id, version) in beat.leaving.iter().zip(&beat.leaving_versions) {
         edge.mark_leaving(&Rc::from(id.as_str()), name, *version);
     }
+    for s in &beat.software {
+        let (service, software) = (s.service.as_str().into(), s.software.as_str().into());
+        let at = now - Ms(u64::from(s.age));
+        edge.streams.borrow_mut().observe(&Origin { service, software }, at);
+    }
     for a in &beat.announced {
         edge.mark_announced(&Rc::from(a.endpoint.as_str()), a.start, name);
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -152,14 +152,16 @@
     Ok(request)
 }
 
-/// Builds the request for the rows of a table from key `from` on; `from` is included.
+/// Builds the request for the rows of a partition of a table from key `from` on; `from` is
+/// included.
 ///
 /// # Errors
 /// The names are too long for a request path.
-pub fn rows_request(table: &str, from: &str) -> Result<Request<Full<Bytes>>> {
+pub fn rows_request(table: &str, part: &str, from: &str) -> Result<Request<Full<Bytes>>> {
     let from =
         if from.is_empty() { String::new() } else { format!("&From={}", percent_encode(from, "")) };
-    get_request(format!("/rows-get?Table={}&part={from}", percent_encode(table, "")))
+    let (table, part) = (percent_encode(table, ""), percent_encode(part, ""));
+    get_request(format!("/rows-get?Table={table}&part={part}{from}"))
 }
 
 /// Builds the request for the changes of a table after a version. Without changes, the store
@@ -172,18 +174,19 @@
     get_request(format!("/rows-feed?Table={table}&after={after}&WaitMs={wait_ms}"))
 }
 
-/// Builds the request for a transaction over rows without a partition.
+/// Builds the request for a transaction over rows of a partition, which may be empty.
 pub fn commit_request(
+    part: &str,
     changes: &[Change<'_>],
     conditions: &[Condition<'_>],
 ) -> Request<Full<Bytes>> {
     let mut tx = WireTx { expected: Vec::new(), put: Vec::new(), remove: Vec::new() };
     for c in conditions {
-        let (table, key, part, ver) = (c.table, c.key, "", row_version::plain(c.version));
+        let (table, key, ver) = (c.table, c.key, row_version::plain(c.version));
         tx.expected.push(WireExpected { table, part, key, ver });
     }
     for c in changes {
-        let (table, key, part) = (c.table, c.key, "");
+        let (table, key) = (c.table, c.key);
         if let Some(ver) = c.expected.map(row_version::plain) {
             tx.expected.push(WireExpected { table, part, key, ver });
         }
--- a/src/read_schedule.rs
+++ b/src/read_schedule.rs
@@ -52,6 +52,11 @@
         Self::new(bounds.drain, 3, 1)
     }
 
+    /// The schedule of single reads.
+    pub fn without_wait(self) -> Self {
+        Self { pause: Ms(0), wait: Ms(0), ..self }
+    }
+
     /// Longest time until a change is read, without the time that an answer takes.
     pub fn worst_delay(&self) -> Ms {
         self.pause + self.wait + Ms(LOST_CALLS * self.overdue.0)
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -30,6 +30,8 @@
 use crate::response_body::{InFlightGuard, ResponseBody};
 use crate::routing::{Route, Routing, Team};
 use crate::shared_limits::NodeCounts;
+use crate::stream_origins::{Origin, stream_id};
+use crate::stream_store;
 use crate::time::{BootClock, Clock, Ms};
 
 /// Time limit of a request if neither the request nor its route states one.
@@ -150,7 +152,9 @@
             return Err(Refusal { status, reason: "over_rate", retry_after: Some(after) });
         }
     }
-    let service = pick_service(&route, parsed);
+    let origin = find_origin(edge, &route, parsed, log).await?;
+    let service =
+        origin.as_ref().map_or_else(|| pick_service(&route, parsed), |o| o.service.clone());
     edge.resends.borrow_mut().on_request(begun, &service);
     let answer_time = route.abandon_after().map_or(time, |p| p.min(time));
     let req = PreparedRequest {
@@ -158,6 +162,7 @@
         route,
         team,
         service,
+        origin,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
@@ -243,11 +248,35 @@
     }
 }
 
+/// Finds out where the stream began that a request takes up; `None` for other requests.
+async fn find_origin(
+    edge: &Rc<Edge>,
+    route: &Route,
+    parsed: &RequestHeaders,
+    log: &mut RequestLog,
+) -> Result<Option<Origin>, Refusal> {
+    if !route.kind.streams() || (parsed.resumes.is_none() && parsed.last_event.is_none()) {
+        return Ok(None);
+    }
+    let first = parsed.resumes.as_deref().unwrap_or_default();
+    let service = pick_service(route, parsed);
+    let Some((origin, source)) = stream_store::find_origin(edge, stream_id(first), &service).await
+    else {
+        return Err(Refusal::unavailable("stream_version_unknown", DEFAULT_RETRY_AFTER));
+    };
+    if !route.targets.iter().any(|t| t.service == origin.service) {
+        return Err(Refusal::unavailable("stream_version_gone", DEFAULT_RETRY_AFTER));
+    }
+    log.add_step(format!("goes_on {} software={} {source:?}", origin.service, origin.software));
+    Ok(Some(origin))
+}
+
 /// Picks the service of a request by the route's weights. All requests of an attempt get
-/// the same service.
+/// the same service, and so do those that take up its stream.
 fn pick_service(route: &Route, parsed: &RequestHeaders) -> Rc<str> {
     let total: f64 = route.targets.iter().map(|t| t.weight.max(0.0)).sum();
-    let seed = parsed.attempt.as_deref().unwrap_or_default();
+    let first = parsed.resumes.as_ref().or(parsed.attempt.as_ref());
+    let seed = first.map(String::as_str).unwrap_or_default();
     let point = (stable_hash(&["split", seed]) >> 11) as f64 / (1_u64 << 53) as f64 * total;
     let mut sum = 0.0;
     for target in &route.targets {
@@ -352,6 +381,7 @@
         model: base,
         adapter,
         version,
+        software: req.origin.as_ref().map(|o| &*o.software),
         prompt_tokens: f64::from(req.parsed.prompt_tokens),
         kv_tokens: engine.map_or(0.0, |e| e.kv_tokens),
         domain: &edge.deployment.domain,
@@ -422,8 +452,12 @@
         let Some(choice) = choose(&edge.table.borrow(), BootClock.now(), &requirements) else {
             let excluded = Exclusions::count(&edge.table.borrow(), &requirements);
             log.add_step(format!("no_endpoint {excluded}"));
+            let reason = match excluded.other_software {
+                0 => "no_endpoint",
+                _ => "stream_version_gone",
+            };
             return Err(deferral_refusal(deferred)
-                .unwrap_or_else(|| Refusal::unavailable("no_endpoint", DEFAULT_RETRY_AFTER)));
+                .unwrap_or_else(|| Refusal::unavailable(reason, DEFAULT_RETRY_AFTER)));
         };
         match edge.check_endpoint(&choice.id) {
             Ok(()) => break choice,
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -11,7 +11,7 @@
 use crate::crash_evidence::Feature;
 use crate::edge::Edge;
 use crate::endpoint_choice::Choice;
-use crate::endpoint_table::RequestOutcome;
+use crate::endpoint_table::{EndpointState, RequestOutcome};
 use crate::http_client::{IncomingResponse, SendError};
 use crate::log_sink::decision;
 use crate::platform::headers::{self, AddedHeaders, RequestHeaders, ResponseHeaders};
@@ -19,6 +19,7 @@
 use crate::response_body::{EventStream, InFlightGuard, StreamTail};
 use crate::routing::{Route, Team};
 use crate::sent_request::SentRequest;
+use crate::stream_origins::{Origin, stream_id};
 use crate::time::{BootClock, Clock, Ms};
 
 /// Part of a request's time that is kept for returning the answer to the caller.
@@ -62,6 +63,8 @@
     pub(crate) route: Rc<Route>,
     pub(crate) team: Option<Rc<Team>>,
     pub(crate) service: Rc<str>,
+    /// Where the stream began that the request takes up.
+    pub(crate) origin: Option<Origin>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -223,6 +226,7 @@
     *response.headers_mut() = std::mem::take(&mut answer.headers);
     headers::strip_connection_headers(response.headers_mut());
     if req.route.kind.streams() && status.is_success() {
+        record_stream(edge, req, choice);
         let open = OpenStream { answer, sent, time_left: req.time_left(), unframed };
         return Ok(ProxyResponse::Events(Box::new(response.map(|()| open))));
     }
@@ -242,6 +246,15 @@
     Ok(ProxyResponse::Whole(response))
 }
 
+/// Remembers which software version begins a stream, before an event of it is passed on.
+fn record_stream(edge: &Edge, req: &PreparedRequest<'_>, choice: &Choice) {
+    let first = req.parsed.resumes.as_ref().or(req.parsed.attempt.as_ref());
+    let origin = edge.table.borrow().get(&choice.id).map(EndpointState::origin);
+    if let (Some(first), Some(origin)) = (first, origin) {
+        edge.streams.borrow_mut().begin(BootClock.now(), stream_id(first), origin);
+    }
+}
+
 /// Finds out why an endpoint did not run a request, and updates the endpoint's state.
 fn not_run_failure(
     edge: &Rc<Edge>,
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -238,6 +238,11 @@
         list.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns the team that an API key belongs to.
     pub fn team(&self, key: &str) -> Option<&Rc<Team>> {
         self.keys.get(key)
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -149,13 +149,23 @@
     .await
 }
 
-/// Reads all rows of a table, with the version from which its feed continues.
+/// Reads all rows of a table without partitions, with the version from which its feed continues.
 pub(crate) async fn read_all(edge: &Edge, table: &str, mode: CallMode) -> Result<Outcome<Rows>> {
+    read_part(edge, table, "", mode).await
+}
+
+/// Reads all rows of a partition of a table.
+pub(crate) async fn read_part(
+    edge: &Edge,
+    table: &str,
+    part: &str,
+    mode: CallMode,
+) -> Result<Outcome<Rows>> {
     let mode = CallMode { wait: Ms(0), ..mode };
     let mut all: Option<Rows> = None;
     let mut from = String::new();
     loop {
-        let request = store::rows_request(table, &from)?;
+        let request = store::rows_request(table, part, &from)?;
         let answer = call_store(edge, request, mode).await?;
         let era = answer.era;
         let page = match store::decode_rows(era, answer.status, &answer.body)? {
@@ -188,12 +198,22 @@
     store::decode_rows(answer.era, answer.status, &answer.body)
 }
 
-/// Commits changes if the conditions hold. Versions of a former era hold no more, even if the
-/// store has given them out again.
+/// Commits changes of rows without a partition; see [`commit_part`].
 pub(crate) async fn commit(
     edge: &Edge,
     changes: &[Change<'_>],
     conditions: &[Condition<'_>],
+) -> Result<Outcome<u64>> {
+    commit_part(edge, "", changes, conditions).await
+}
+
+/// Commits changes of a partition if the conditions hold. Versions of a former era hold no more,
+/// even if the store has given them out again.
+pub(crate) async fn commit_part(
+    edge: &Edge,
+    part: &str,
+    changes: &[Change<'_>],
+    conditions: &[Condition<'_>],
 ) -> Result<Outcome<u64>> {
     let expected = changes.iter().filter_map(|c| c.expected);
     let mut versions = expected.chain(conditions.iter().map(|c| c.version)).filter(|v| *v > 0);
@@ -201,7 +221,7 @@
     if versions.any(|v| row_version::era(v) != era) {
         return Ok(Outcome::Refused);
     }
-    let request = store::commit_request(changes, conditions);
+    let request = store::commit_request(part, changes, conditions);
     let answer = call_store(edge, request, CallMode::PLAIN).await?;
     store::decode_commit(answer.status, &answer.body)
 }
--- a/src/store_health.rs
+++ b/src/store_health.rs
@@ -53,6 +53,11 @@
         self.returned = Some(now);
     }
 
+    /// Whether calls have failed since the last answer.
+    pub fn is_failing(&self) -> bool {
+        self.failing
+    }
+
     /// Whether an entry that is missing may have lapsed in an outage and come back.
     pub fn may_come_back(&self, now: Ms) -> bool {
         self.returned.is_some_and(|at| now.since(at) < LAPSED_ENTRY_GRACE)
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -182,6 +182,8 @@
     let teams = routing.teams().iter().map(|t| &**t);
     edge.team_limits.borrow_mut().add(BootClock.now(), teams);
     edge.metrics.serial(routing.version);
+    let streams = routing.routes().filter(|r| r.kind.streams()).map(|r| r.timeout);
+    edge.streams.borrow_mut().set_time_limit(streams.max().unwrap_or_default());
     edge.document.replace(bytes);
     edge.routing.replace(Rc::new(routing));
 }
@@ -307,6 +309,8 @@
             }
         }
         drop(unlisted);
+        // Versions of endpoints that are removed next have served until now.
+        edge.observe_software(now);
         remove_unlisted(&edge);
         edge.entries_read.set(true);
         std::future::ready(())
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -248,16 +248,16 @@
 
 #[test]
 fn store_requests_are_encoded_and_answers_are_decoded() {
-    let request = store::rows_request("holders", "i 7&").unwrap();
+    let request = store::rows_request("holders", "", "i 7&").unwrap();
     assert_eq!(request.uri(), "/rows-get?Table=holders&part=&From=i%207%26");
     let change = Change { table: "nodes", key: "edge-1", expected: Some(0), value: Some(b"x") };
     let condition = store::Condition { table: "nodes", key: "n-2", version: 17 };
-    let body = format!("{:?}", store::commit_request(&[change], &[condition]).body());
+    let body = format!("{:?}", store::commit_request("", &[change], &[condition]).body());
     assert!(body.contains("Expected") && body.contains("Put"), "{body}");
     assert!(body.replace('\\', "").contains(r#""Key":"n-2","Ver":17"#), "{body}");
     let version = row_version::qualify(3, 17);
     let condition = store::Condition { table: "nodes", key: "n-2", version };
-    let body = format!("{:?}", store::commit_request(&[], &[condition]).body());
+    let body = format!("{:?}", store::commit_request("", &[], &[condition]).body());
     assert!(body.replace('\\', "").contains(r#""Ver":17"#), "{body}");
     assert_eq!(
         store::feed_request("op", version, 5).unwrap().uri(),
--- a/tests/edge_resumed.rs
+++ b/tests/edge_resumed.rs
@@ -85,7 +85,8 @@
                 let first = format!("s{n}");
                 let request = CallerRequest::new("POST /ask/1", &first)
                     .with_header("X-Model", "base")
-                    .with_header("X-Token-Count", "10,5");
+                    .with_header("X-Token-Count", "10,5")
+                    .with_header("Connection", "close");
                 let begun = read_events(fronts[n % fronts.len()], &request.bytes()).await;
                 let mut stream = Stream { parts: vec![begun.clone()], whole: begun.whole };
                 for t in 1..=TRIES {
@@ -95,7 +96,8 @@
                         .with_header("X-Model", "base")
                         .with_header("X-Token-Count", "10,5")
                         .with_header("Last-Event-Id", &last.to_string())
-                        .with_header("Resumes", &first);
+                        .with_header("Resumes", &first)
+                        .with_header("Connection", "close");
                     let part = read_events(fronts[(n + t) % fronts.len()], &request.bytes()).await;
                     stream.whole = part.whole;
                     stream.parts.push(part);
@@ -122,7 +124,10 @@
             let ids: Vec<u64> = s.parts.iter().flat_map(|p| p.ids.clone()).collect();
             assert_eq!(ids, (0..ids.len() as u64).collect::<Vec<_>>(), "pieces are in order");
         }
-        Outcome { taken: taken.len(), went_on: went_on.count(), joined: joined.count() }
+        let outcome =
+            Outcome { taken: taken.len(), went_on: went_on.count(), joined: joined.count() };
+        println!("{outcome:?}");
+        outcome
     }
 
     /// Software versions of the engines from which a stream has events.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -188,6 +188,7 @@
             domain: "gent",
             tried: &[],
             deferred: &[],
+            software: None,
         };
         let choice = pick(&table, policy, Ms(now), &need);
         let n: usize = choice.id[2..].parse().unwrap();
@@ -247,6 +248,7 @@
         domain: "gent",
         tried: &[],
         deferred: &[],
+        software: None,
     };
     let mut counts = [0; 3];
     for n in 0..300_u64 {
@@ -284,6 +286,7 @@
         domain: "gent",
         tried: &[],
         deferred: &[],
+        software: None,
     };
     // The endpoint that has the adapter loaded has a backlog of prompts.
     let held = choose(&table, Ms(0), &need).unwrap().id;
