Answer requests that are still unanswered when the grace period ends

Cause: the process ended with its connections while handlers still waited.

Change: 0.4 s before the node ends, a request that was sent gets 502, one that was not gets 503; both close the connection.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -44,6 +44,8 @@
 const MIN_SHUTDOWN: Ms = Ms(2_600);
 /// Time before the end of the grace period at which the node stops waiting for requests.
 const EXIT_MARGIN: Ms = Ms(500);
+/// Time before that in which requests without an answer get one.
+const LAST_ANSWERS: Ms = Ms(400);
 /// Time limit for releasing the lease on exit.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which idle connections are closed and the log is flushed.
@@ -153,6 +155,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// When the node began to stop.
     pub(crate) stopped_at: Cell<Option<Instant>>,
+    /// Whether the grace period of a stopping node is about to end.
+    pub(crate) grace_over: watch::Sender<bool>,
     pub(crate) in_flight: Cell<usize>,
     /// Callers' connections, including those whose last answer is still being written, and the
     /// listener while it accepts them.
@@ -201,6 +205,7 @@
             entries_read: Cell::new(false),
             stopping: watch::Sender::new(false),
             stopped_at: Cell::new(None),
+            grace_over: watch::Sender::new(false),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             metrics: Metrics::with_sink(exposition.clone()),
@@ -271,6 +276,12 @@
         self.versions.borrow().get(adapter).map(|(v, _)| *v)
     }
 
+    /// Resolves when the grace period of a stopping node is about to end.
+    pub(crate) async fn until_grace_over(&self) {
+        // Cannot fail: the sender lives as long as the node.
+        let _ = self.grace_over.subscribe().wait_for(|over| *over).await;
+    }
+
     /// Counts a request that is to be sent to an endpoint, and checks that the endpoint wants it
     /// and that the rate limit that it states leaves room for it.
     ///
@@ -416,6 +427,9 @@
         if idle || now >= end || active(Failpoint::ExitEarly) {
             break;
         }
+        if now + LAST_ANSWERS >= end {
+            edge.grace_over.send_replace(true);
+        }
         sleep(Duration::from_millis(20)).await;
     }
     // The lease is released last: until then the node still sends orders, and a restarted
--- a/src/request_log.rs
+++ b/src/request_log.rs
@@ -36,6 +36,8 @@
     pub(crate) parts: Vec<PromptPart>,
     /// Attempt whose stream it resumes, if any.
     pub(crate) resumes: Option<String>,
+    /// Whether it may have run, or is being sent.
+    pub(crate) may_have_run: bool,
     /// Steps of its processing, each with its time in ms and its inputs.
     pub(crate) steps: Vec<String>,
     first_event: Option<Ms>,
@@ -56,6 +58,7 @@
             cost: 0.0,
             parts: Vec::new(),
             resumes: None,
+            may_have_run: false,
             steps: Vec::new(),
             first_event: None,
             outcome: None,
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -72,6 +72,14 @@
     }
 }
 
+/// The refusal of a request that has no answer when the node ends.
+fn unfinished_refusal(log: &RequestLog) -> Refusal {
+    match log.may_have_run {
+        true => Refusal::new(StatusCode::BAD_GATEWAY, "node_stopped"),
+        false => Refusal::unavailable("node_stopped", DEFAULT_RETRY_AFTER),
+    }
+}
+
 /// Answers a caller's request and logs it.
 pub(crate) async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<ResponseBody> {
     let guard = InFlightGuard::new(&edge);
@@ -81,7 +89,13 @@
     log.parts.clone_from(&parsed.prompt_parts);
     log.resumes.clone_from(&parsed.resumes);
     let stopping = *edge.stopping.borrow();
-    let mut response = match serve_request(&edge, request, &parsed, &mut log).await {
+    let served = tokio::select! {
+        biased;
+        served = serve_request(&edge, request, &parsed, &mut log) => Some(served),
+        () = edge.until_grace_over() => None,
+    };
+    let served = served.unwrap_or_else(|| Err(unfinished_refusal(&log)));
+    let mut response = match served {
         Ok(ProxyResponse::Whole(response)) => {
             log.status = response.status().as_u16();
             if !response.status().is_server_error() {
@@ -320,6 +334,7 @@
             Err(_) => break,
         };
         let again = lacking.contains(&choice.id);
+        log.may_have_run = true;
         let failure = match send_once(edge, req, (&choice, again), version, log).await {
             Ok(answered) => return Ok(answered),
             Err(failure) => failure,
@@ -333,6 +348,7 @@
         if may_have_run {
             maybe_ran += 1;
         }
+        log.may_have_run = maybe_ran > 0;
         // A later send that did not run must not hide that an earlier one may have run.
         last = match (last, failure) {
             (old @ (SendFailure::Unknown(_) | SendFailure::Failed(_)), SendFailure::NotRun(_)) => {
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -149,6 +149,8 @@
     pub attempt: &'a str,
     /// Additional headers, each with its line ending.
     pub headers: String,
+    /// Time that the caller waits, in ms.
+    pub deadline_ms: u32,
     /// Body.
     pub body: &'a str,
 }
@@ -157,7 +159,7 @@
     /// Creates a request with the key of the team `studio` and an empty body.
     pub fn new(line: &'a str, attempt: &'a str) -> Self {
         let headers = format!("Authorization: Token {KEY}\r\n");
-        Self { line, attempt, headers, body: "" }
+        Self { line, attempt, headers, deadline_ms: 4_000, body: "" }
     }
 
     /// Adds a header.
@@ -168,9 +170,9 @@
 
     /// Encodes the request.
     pub fn bytes(&self) -> Vec<u8> {
-        let Self { line, attempt, headers, body } = self;
+        let Self { line, attempt, headers, deadline_ms, body } = self;
         format!(
-            "{line} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 4000\r\n\
+            "{line} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
              {headers}Content-Length: {}\r\n\r\n{body}",
             body.len()
         )
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -78,6 +78,8 @@
     event_pause: Duration,
     /// Loaded model; `None` at a plain endpoint and at an engine that holds nothing.
     model: Option<String>,
+    /// Time that a plain endpoint takes for an answer.
+    work_time: Duration,
     /// Bytes appended to each answer of a plain endpoint.
     padding: usize,
     /// Pause after each piece of an answer without end.
@@ -186,6 +188,11 @@
         lock(&self.state).crash_trigger = Some(trigger.to_owned());
     }
 
+    /// Sets the time that a plain endpoint takes for an answer.
+    pub fn set_work_time(&self, time: Duration) {
+        lock(&self.state).work_time = time;
+    }
+
     /// Appends this number of bytes to each answer of a plain endpoint.
     pub fn set_padding(&self, bytes: usize) {
         lock(&self.state).padding = bytes;
@@ -469,7 +476,13 @@
         | EndpointFault::Full
             if !is_engine =>
         {
-            let padding = ".".repeat(lock(state).padding);
+            let (padding, work_time) = {
+                let state = lock(state);
+                (".".repeat(state.padding), state.work_time)
+            };
+            if !work_time.is_zero() {
+                sleep(work_time).await;
+            }
             let body = format!("answer to {attempt}{padding}");
             connection.write_answer(200, &head, body.as_bytes()).await?;
             if fault == EndpointFault::Extra {
--- a/tests/edge_stop.rs
+++ b/tests/edge_stop.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
-use standin::caller::{Answer, CallerRequest, read_answer};
+use serde_json::json;
+use standin::caller::{Answer, CallerRequest, KEY, read_answer};
 use standin::node::Node;
-use standin::test_setup::TestSetup;
+use standin::test_setup::{TestSetup, document};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -66,3 +67,79 @@
     assert_eq!(served, callers.len());
     assert_eq!(node.wait_exit().await, Some(0));
 }
+
+/// Deadline of a caller that outlasts the grace period.
+const LONG_DEADLINE_MS: u32 = 12_000;
+
+/// Sets the time limit of all routes.
+fn set_time_limit(world: &TestSetup, ms: u32) {
+    let mut document = document(4, &[KEY]);
+    for route in document["Routes"].as_array_mut().unwrap() {
+        route["TimeoutMs"] = json!(ms);
+    }
+    world.rows.put("op", "config", &document);
+}
+
+/// Sends requests on one connection, one after the other, until it ends. Returns the number of
+/// answers, and whether the last request got one or found the connection closed.
+async fn use_connection(front: SocketAddr, name: usize) -> (usize, bool) {
+    let Ok(mut stream) = TcpStream::connect(front).await else { return (0, true) };
+    for n in 0.. {
+        let attempt = format!("c{name}-{n}");
+        let mut request = CallerRequest::new("POST /enter/1", &attempt);
+        request.deadline_ms = LONG_DEADLINE_MS;
+        if stream.write_all(&request.bytes()).await.is_err() {
+            return (n, true);
+        }
+        match read_answer(&mut stream).await {
+            Some(answer) if answer.whole => {
+                if answer.headers.get("connection").is_some_and(|c| c == "close") {
+                    return (n + 1, true);
+                }
+            }
+            // The request crossed the close of the connection unless an endpoint has run it.
+            answer => return (n, answer.is_none()),
+        }
+    }
+    unreachable!("the loop ends with the connection")
+}
+
+/// Lets callers use connections to a node that stops until it is gone. Work takes `work`.
+async fn check_stop(name: &str, work: Duration) {
+    let world = TestSetup::start().await;
+    set_time_limit(&world, LONG_DEADLINE_MS);
+    world.ledger.iter().for_each(|e| e.set_work_time(work));
+    let mut node = Node::start(name, world.store_address()).await;
+    let front = node.addresses.frontend;
+    let mut callers = Vec::new();
+    for n in 0..8 {
+        callers.push(tokio::spawn(use_connection(front, n)));
+    }
+    sleep(Duration::from_millis(300)).await;
+    node.terminate();
+    for n in 8..100 {
+        callers.push(tokio::spawn(use_connection(front, n)));
+        sleep(Duration::from_millis(40)).await;
+    }
+    assert_eq!(node.wait_exit().await, Some(0));
+    let (mut answers, mut cut) = (0, 0);
+    for caller in callers {
+        let (count, is_closed) = caller.await.unwrap();
+        answers += count;
+        cut += usize::from(!is_closed);
+    }
+    let runs: usize = world.ledger.iter().map(|e| e.runs().len()).sum();
+    assert_eq!(cut, 0, "answers were cut");
+    assert!(answers >= runs, "{runs} requests ran, {answers} were answered");
+}
+
+#[tokio::test]
+async fn requests_that_arrive_until_a_stop_ends_are_answered() {
+    check_stop("stop-short", Duration::from_millis(700)).await;
+}
+
+// The endpoint works on, so that the outcome is unknown.
+#[tokio::test]
+async fn work_that_outlasts_the_grace_period_is_answered() {
+    check_stop("stop-long", Duration::from_secs(11)).await;
+}
