Read the list of VMs entry by entry

One odd entry (deeply nested, a port of 99999 or -1, a number that is too large, a missing field) made the whole list unreadable, so that the role serve kept the last one and followed no departure any more.

Cause: the list was decoded as a whole. Entries are decoded one by one now, and a change of the number of unreadable ones is logged.

--- a/src/vm_list.rs
+++ b/src/vm_list.rs
@@ -1,10 +1,13 @@
 //! HTTP client for the platform's list of VMs: `GET /vms` returns a JSON array of [`Vm`].
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
+use serde_json::value::RawValue;
 use tokio::time::Instant;
 
 use crate::error::{Error, Result};
@@ -20,12 +23,14 @@
     http: HttpClient,
     addr: SocketAddr,
     timeout: Duration,
+    /// Number of entries of the last list that could not be read, for the log.
+    unreadable: Arc<AtomicUsize>,
 }
 
 impl HttpVms {
     /// Creates a client for the service at `addr`; `timeout` limits each request.
     pub fn new(http: HttpClient, addr: SocketAddr, timeout: Duration) -> Self {
-        Self { http, addr, timeout }
+        Self { http, addr, timeout, unreadable: Arc::default() }
     }
 }
 
@@ -43,8 +48,18 @@
         if !response.status.is_success() {
             return Err(Error::io(SERVICE, format!("status {}", response.status)));
         }
-        let mut vms: Vec<Vm> =
+        // Entries are decoded one by one, so that an odd one hides no others.
+        let entries: Vec<&RawValue> =
             serde_json::from_slice(&response.body).map_err(|e| Error::io(SERVICE, e))?;
+        let count = entries.len();
+        let mut vms: Vec<Vm> = entries
+            .into_iter()
+            .filter_map(|entry| serde_json::from_str(entry.get()).ok())
+            .collect();
+        let unreadable = count - vms.len();
+        if self.unreadable.swap(unreadable, Ordering::Relaxed) != unreadable {
+            log::warn!("{unreadable} of {count} entries of the list of VMs cannot be read");
+        }
         vms.sort_by(|a, b| a.name.cmp(&b.name));
         Ok(vms)
     }
--- a/tests/border_platform.rs
+++ b/tests/border_platform.rs
@@ -224,3 +224,34 @@
     assert!(set.elapsed() >= lag);
     assert_eq!(shown, [vm]);
 }
+
+// One entry that cannot be read hid all others, so that the list was no longer followed.
+#[tokio::test]
+async fn odd_entries_of_the_list_of_vms_hide_no_others() {
+    let nested = "[".repeat(49_000) + &"]".repeat(49_000);
+    let good = |name: &str| format!(r#"{{"name":"{name}","addr":"10.0.0.1:80","role":"engine"}}"#);
+    let odd = [
+        nested.as_str(),
+        r#"{"name":"x","addr":"10.0.0.1:99999","role":"engine"}"#,
+        r#"{"name":"x","addr":"10.0.0.1:-1","role":"engine"}"#,
+        r#"{"name":"x","addr":1e400,"role":"engine"}"#,
+        r#"{"name":null,"addr":"10.0.0.1:80","role":"engine"}"#,
+        "{}",
+        "7",
+    ];
+    let list = format!("[{},{},{}]", good("b"), odd.join(","), good("a"));
+    let server = standin::http_server::serve(move |mut connection| {
+        let list = list.clone();
+        async move {
+            while connection.read_request().await?.is_some() {
+                connection.write_answer(200, "", list.as_bytes()).await?;
+            }
+            Ok(())
+        }
+    })
+    .await
+    .unwrap();
+    let vms = HttpVms::new(http(), server.address, Duration::from_secs(5));
+    let names: Vec<String> = vms.list().await.unwrap().into_iter().map(|vm| vm.name).collect();
+    assert_eq!(names, ["a", "b"]);
+}
