Do not resume an answer at another software version in the role serve

Found by looking for the cause of the joined streams elsewhere: an engine that had come back with another version went on with an answer that its predecessor had begun, and the caller saw [DONE].

Cause: a broken answer is resumed at the same engine, whose software may have been replaced meanwhile; nothing compared the versions. The edge never goes on within an answer.

Change: engines state their version in answers (X-Software-Version); an answer that would go on at another one ends with an error event. Engines that state none are resumed as before.

Result: faults_endpoints::broken_streams_are_not_resumed_at_another_software_version failed before (Done) and passes; broken_streams_are_resumed passes.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -416,6 +416,11 @@
                 false => None,
             };
             match resumed {
+                // What two versions of the software write does not fit together.
+                Some(next) if next.software != reply.software => {
+                    let why = format!("{:?} after {:?}", next.software, reply.software);
+                    return Err(self.lost_failure(permit, &why).denial);
+                }
                 Some(next) => reply = next,
                 None => {
                     return Err(self.lost_failure(permit, &format!("{e:?}")).denial);
--- a/src/engine_client.rs
+++ b/src/engine_client.rs
@@ -39,6 +39,8 @@
 /// Request header with the number of the attempt's tokens already received.
 pub const X_RESUME_OFFSET: &str = "x-resume-offset";
 
+/// Response header with the version of the engine's software.
+pub const X_SOFTWARE_VERSION: &str = "x-software-version";
 /// Response header that is `1` if the stream can be resumed.
 pub const X_RESUMABLE: &str = "x-resumable";
 
@@ -163,6 +165,8 @@
 pub struct EngineReply<S> {
     /// Status code, always a success.
     pub status: u16,
+    /// Version of the engine's software, if stated. An answer goes on only at this version.
+    pub software: Option<String>,
     /// Whether the stream can be resumed with [`EngineCall::resume`].
     pub resumable: bool,
     /// Frames of the answer; dropping the stream cancels the request.
@@ -449,6 +453,8 @@
         }
         let status = response.status.as_u16();
         let resumable = response.headers.get(X_RESUMABLE).is_some_and(|v| v == "1");
+        let software = response.headers.get(X_SOFTWARE_VERSION);
+        let software = software.and_then(|v| v.to_str().ok()).map(str::to_owned);
         let dropped = DroppedFrames::default();
         let limits = FrameLimits {
             progress_timeout: call.stream.then_some(self.settings.progress_timeout),
@@ -456,7 +462,7 @@
             max_frame: self.settings.max_frame,
         };
         let frames = Frames::new(response, call.attempt, call.stream, limits, dropped.clone());
-        Ok(EngineReply { status, resumable, frames, dropped })
+        Ok(EngineReply { status, software, resumable, frames, dropped })
     }
 
     async fn cancel(&self, attempt: AttemptId) -> Result<()> {
--- a/src/sample_engine.rs
+++ b/src/sample_engine.rs
@@ -21,7 +21,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
-use crate::engine_client::{X_FENCE, X_INCARNATION, X_REQUEST_ID, X_RESUMABLE, X_RESUME_OFFSET};
+use crate::engine_client::{
+    X_FENCE, X_INCARNATION, X_REQUEST_ID, X_RESUMABLE, X_RESUME_OFFSET, X_SOFTWARE_VERSION,
+};
 use crate::faulty_listener::{ConnectionControl, FaultyListener, RunningServer, spawn_server};
 use crate::http_client::{HttpClient, HttpSettings, build_request};
 use crate::ids::stable_hash;
@@ -405,8 +407,10 @@
         };
         if json["stream"].as_bool() == Some(true) {
             let resumable = if self.0.spec.resumable { "1" } else { "0" };
+            let software = self.0.state().faults.software.clone();
             let head = Response::builder()
                 .content_type("text/event-stream")
+                .header(X_SOFTWARE_VERSION, software)
                 .header(X_RESUMABLE, resumable);
             return head.body(generation.into_stream());
         }
--- a/src/sample_record.rs
+++ b/src/sample_record.rs
@@ -137,6 +137,8 @@
     pub lose_answers: Option<u32>,
     /// Number of requests that are answered with the id of another attempt.
     pub foreign_ids: Option<u32>,
+    /// Version of the software that later answers state.
+    pub software: Option<String>,
 }
 
 /// Active faults; the fields are those of [`Fault`].
@@ -151,6 +153,7 @@
     pub break_count: u32,
     pub lose_answers: u32,
     pub foreign_ids: u32,
+    pub software: String,
 }
 
 impl Default for ActiveFaults {
@@ -165,6 +168,7 @@
             break_count: u32::MAX,
             lose_answers: 0,
             foreign_ids: 0,
+            software: "1".to_owned(),
         }
     }
 }
@@ -187,6 +191,7 @@
         }
         set(&mut self.lose_answers, &fault.lose_answers);
         set(&mut self.foreign_ids, &fault.foreign_ids);
+        set(&mut self.software, &fault.software);
     }
 
     /// Whether a request with this body triggers a crash.
--- a/tests/faults_endpoints.rs
+++ b/tests/faults_endpoints.rs
@@ -99,6 +99,24 @@
     assert!(resumed >= 6, "{resumed} streams were resumed");
 }
 
+// Guards against answers joined from two versions of an engine's software.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_streams_are_not_resumed_at_another_software_version() {
+    let d = Deployment::start(1, 2).await;
+    for e in engines(&d) {
+        d.inject_fault(e.addr, json!({"break_after": 20, "slow": 5.0})).await;
+    }
+    for n in 0..3 {
+        let mut stream = d.open_stream(0, 0, &format!("upgraded {n}"), 40).await;
+        stream.wait_first_token().await;
+        for e in engines(&d) {
+            d.inject_fault(e.addr, json!({"software": format!("2.{n}")})).await;
+        }
+        let end = stream.read_to_end().await;
+        assert!(matches!(end, StreamEnd::Error(_)), "stream {n}: {end:?}");
+    }
+}
+
 // Guards against requests that wait forever on silent connections, and against treating
 // an endpoint as failed although new connections to it work.
 #[tokio::test(flavor = "multi_thread")]
