Soak: endpoints that say that they leave or when to retry, silent store connections, streams taken up

Announced leaves, refusals with Retry-After and silent connections to the store come in a series of their own, so that the other faults of a seed stay as they were. Engines of two software versions serve; callers take up broken streams. New checks: announced, deferred, joined, each with a test on a written history.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -40,6 +40,8 @@
     Stream,
     /// A stream whose prompt crashes the engine that runs it.
     Fatal,
+    /// The rest of a stream that broke.
+    Resumed,
 }
 
 /// Part of a prompt that crashes engines.
@@ -86,6 +88,17 @@
     pub done: AtomicBool,
     /// Requests that have ended.
     pub sent: Mutex<Vec<Sent>>,
+    /// Streams that callers have taken up.
+    pub resumed: Mutex<Vec<Resumed>>,
+}
+
+/// A stream that broke and that its caller took up.
+#[derive(Clone, Debug)]
+pub struct Resumed {
+    /// Attempt that brought its first event.
+    pub attempt: String,
+    /// Seals of the answers with its first and its further events; empty if there were none.
+    pub seals: [String; 2],
 }
 
 /// The key that only the configuration of this version contains.
@@ -108,7 +121,7 @@
         kind: Kind,
         key: Option<u64>,
         request: CallerRequest<'_>,
-    ) {
+    ) -> Sent {
         let start = self.shared.starts[node].load(Ordering::Relaxed);
         let started = Instant::now();
         let answer =
@@ -122,7 +135,32 @@
         let same_process = start == self.shared.starts[node].load(Ordering::Relaxed);
         let start = same_process.then_some(start);
         let sent = Sent { attempt, kind, node, start, key, started, ended, answer };
-        self.shared.sent.lock().unwrap().push(sent);
+        self.shared.sent.lock().unwrap().push(sent.clone());
+        sent
+    }
+
+    /// Takes up a stream at another node if it broke after an event.
+    async fn resume(&mut self, broken: &Sent, headers: &str) {
+        let Some(answer) = broken.answer.as_ref().filter(|a| a.status == 200 && !a.whole) else {
+            return;
+        };
+        let complete = answer.body.rsplit_once("\n\n").map_or("", |(events, _)| events);
+        let Some(last) = complete.rsplit("id: ").next().and_then(|e| e.lines().next()) else {
+            return;
+        };
+        let Ok(last) = last.parse::<u64>() else { return };
+        let seal = |a: &Answer| a.headers.get("x-server-seal").cloned().unwrap_or_default();
+        let node = self.rng.random_range(0..self.shared.nodes.len());
+        let attempt = format!("{}r", broken.attempt);
+        let mut request = CallerRequest::new("POST /ask/1", &attempt)
+            .with_header("Last-Event-Id", &last.to_string())
+            .with_header("Resumes", &broken.attempt);
+        request.headers.push_str(headers);
+        let next = self.send(attempt.clone(), node, Kind::Resumed, None, request).await.answer;
+        let next = next.filter(|a| a.status == 200 && a.body.contains("id: "));
+        let seals = [seal(answer), next.as_ref().map(seal).unwrap_or_default()];
+        let attempt = broken.attempt.clone();
+        self.shared.resumed.lock().unwrap().push(Resumed { attempt, seals });
     }
 
     /// Sends a request on the connection to a node, opening it if necessary, and reads the
@@ -178,7 +216,12 @@
                 .with_header("X-Token-Count", "10,5")
                 .with_header("X-Prompt-Prefix", &parts);
         }
-        caller.send(attempt.clone(), node, kind, key, request).await;
+        let sent = caller.send(attempt.clone(), node, kind, key, request).await;
+        if kind == Kind::Stream {
+            let headers =
+                format!("X-Model: {model}\r\nX-Token-Count: 10,5\r\nX-Prompt-Prefix: {parts}\r\n");
+            caller.resume(&sent, &headers).await;
+        }
         let pause = caller.rng.random_range(0..MAX_PAUSE_MS);
         sleep(Duration::from_millis(pause)).await;
     }
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -7,7 +7,8 @@
 use standin::caller::Answer;
 use standin::endpoint_instance::Run;
 
-use crate::callers::{CALLER_TIMEOUT, FATAL_PART, Kind, METER_TOKENS, Sent};
+use crate::callers::{CALLER_TIMEOUT, FATAL_PART, Kind, METER_TOKENS, Resumed, Sent};
+use crate::fleet::software_of;
 
 /// Rate limit of the team `meter`, in tokens per second.
 pub const METER_RATE: u64 = 20_000;
@@ -36,6 +37,14 @@
 /// Statuses that state that a request did not run.
 const NOT_RUN_STATUSES: [u16; 5] = [401, 404, 413, 429, 503];
 
+/// Time for which an endpoint that refuses all requests wants nothing.
+pub const DEFER_TIME: Duration = Duration::from_secs(2);
+/// Time after a refusal from which on requests of that node are counted.
+const DEFER_SLACK: Duration = Duration::from_millis(500);
+/// Most requests of a node that may arrive from then until the end of that time.
+const MAX_DEFERRED: usize = 2;
+/// Most streams that may hold events of two software versions.
+const MAX_JOINED: usize = 2;
 /// Requests per second that an endpoint states as its limit.
 pub const STATED_LIMIT: f64 = 4.0;
 /// Window in which requests to an endpoint with a limit are counted.
@@ -65,6 +74,17 @@
     pub at: Instant,
 }
 
+/// A request that an endpoint refused with a time after which to retry.
+#[derive(Clone, Debug)]
+pub struct Deferred {
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// Attempt id.
+    pub attempt: String,
+    /// When it arrived.
+    pub at: Instant,
+}
+
 /// A departure of an endpoint.
 #[derive(Clone, Debug)]
 pub struct Departure {
@@ -117,6 +137,10 @@
     pub exits: Vec<String>,
     /// Rate limits that endpoints stated.
     pub limits: Vec<StatedLimit>,
+    /// Attempts that endpoints refused with a time after which to retry.
+    pub deferred: Vec<Deferred>,
+    /// Streams that callers have taken up.
+    pub resumed: Vec<Resumed>,
     /// Crashes of engines by the prompt part that crashes them.
     pub fatal_crashes: Vec<Instant>,
 }
@@ -154,9 +178,12 @@
         }
         let orders: usize = self.orders.iter().map(|(_, o)| o.len()).sum();
         let (sent, runs) = (self.sent.len(), self.runs.len());
+        let went_on = self.resumed.iter().filter(|r| !r.seals[1].is_empty()).count();
+        let (resumed, deferred) = (self.resumed.len(), self.deferred.len());
         let crashes = self.fatal_crashes.len();
         format!(
             "{sent} requests, {runs} runs, {orders} orders, {crashes} engines crashed by requests, \
+             {went_on} of {resumed} streams went on, {deferred} requests deferred, \
              by status {by_status:?}"
         )
     }
@@ -184,6 +211,9 @@
     check_deadlines(history, &mut findings);
     check_fatal_part(history, &mut findings);
     check_sound_requests(history, &mut findings);
+    check_announced(history, &mut findings);
+    check_deferred(history, &mut findings);
+    check_joined(history, &mut findings);
     findings.extend(history.exits.iter().map(|e| format!("exit: {e}")));
     findings
 }
@@ -195,6 +225,8 @@
     let own = matches_header("x-attempt-id", &sent.attempt)
         && matches_header("x-server-seal", &sent.attempt);
     own && match sent.kind {
+        // The events before are those of another attempt.
+        Kind::Resumed => true,
         Kind::Stream | Kind::Fatal => {
             let count = EVENTS_PER_STREAM as usize;
             let ids: Vec<usize> =
@@ -379,6 +411,76 @@
     }
 }
 
+/// The endpoint that sealed an answer.
+fn endpoint_of(seal: &str) -> &str {
+    seal.split('.').nth(1).unwrap_or_default()
+}
+
+/// Checks that a node sends nothing to an endpoint some time after it has passed on an answer in
+/// which the endpoint says that it leaves.
+fn check_announced(history: &History, findings: &mut Vec<String>) {
+    let mut told: HashMap<(usize, u64, &str), Instant> = HashMap::new();
+    for sent in &history.sent {
+        let (Some(start), Some(answer)) = (sent.start, &sent.answer) else { continue };
+        let Some(seal) = answer.headers.get("x-server-seal") else { continue };
+        if answer.headers.contains_key("server-leaving") {
+            let first = told.entry((sent.node, start, endpoint_of(seal))).or_insert(sent.ended);
+            *first = sent.ended.min(*first);
+        }
+    }
+    for sent in &history.sent {
+        let (Some(start), Some(answer)) = (sent.start, &sent.answer) else { continue };
+        let Some(seal) = answer.headers.get("x-server-seal") else { continue };
+        let Some(at) = told.get(&(sent.node, start, endpoint_of(seal))) else { continue };
+        let late = sent.started > *at + APPLY_LIMIT;
+        if late && !history.is_disturbed(sent.node, *at, sent.started) {
+            let after = sent.started - *at;
+            findings.push(format!(
+                "announced: {} reached {seal} {after:?} after node {} had passed on that it leaves",
+                sent.attempt, sent.node
+            ));
+        }
+    }
+}
+
+/// Checks that a node keeps to the time for which an endpoint wants nothing.
+fn check_deferred(history: &History, findings: &mut Vec<String>) {
+    let sent: HashMap<&str, &Sent> = history.sent.iter().map(|s| (s.attempt.as_str(), s)).collect();
+    let mut refused: HashMap<(usize, u64, &str), Vec<Instant>> = HashMap::new();
+    for d in &history.deferred {
+        let Some(s) = sent.get(d.attempt.as_str()) else { continue };
+        let Some(start) = s.start else { continue };
+        refused.entry((s.node, start, &d.endpoint)).or_default().push(d.at);
+    }
+    for ((node, _, endpoint), times) in &refused {
+        for at in times {
+            let in_pause = |t: &&Instant| **t > *at + DEFER_SLACK && **t < *at + DEFER_TIME;
+            let count = times.iter().filter(in_pause).count();
+            let end = *at + DEFER_TIME;
+            if count > MAX_DEFERRED && !history.is_disturbed(*node, *at, end) {
+                findings.push(format!(
+                    "deferred: {count} requests of node {node} in a pause of {endpoint}"
+                ));
+                break;
+            }
+        }
+    }
+}
+
+/// Checks that streams hold events of one software version.
+fn check_joined(history: &History, findings: &mut Vec<String>) {
+    let software = |seal: &String| software_of(endpoint_of(seal));
+    let is_joined = |r: &&Resumed| {
+        let [first, next] = &r.seals;
+        !next.is_empty() && software(first) != software(next)
+    };
+    let joined: Vec<&Resumed> = history.resumed.iter().filter(is_joined).collect();
+    if joined.len() > MAX_JOINED {
+        let (count, all) = (joined.len(), history.resumed.len());
+        findings.push(format!("joined: {count} of {all} streams, {:?} first", joined[0]));
+    }
+}
+
 /// Checks that each endpoint received orders of only one holder at a time.
 fn check_holders(history: &History, findings: &mut Vec<String>) {
     for (endpoint, orders) in &history.orders {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,8 +17,8 @@
 
 use crate::callers::{self, FATAL_PART, METER_KEY, METER_TASKS, STUDIO_TASKS, Shared, version_key};
 use crate::check::{
-    Config, Departure, EVENTS_PER_STREAM, History, METER_BURST, METER_RATE, NodeTime, STATED_LIMIT,
-    StatedLimit,
+    Config, DEFER_TIME, Deferred, Departure, EVENTS_PER_STREAM, History, METER_BURST, METER_RATE,
+    NodeTime, STATED_LIMIT, StatedLimit,
 };
 use crate::plan::{Event, Fault, Size};
 
@@ -40,12 +40,19 @@
 /// The operators' document of a version, which includes a key that no other version has.
 fn configuration(version: u64) -> Value {
     let mut all = document(version, &[KEY, &version_key(version)]);
+    all["Routes"][2]["Resumable"] = json!(true);
     let meter = json!({"Name": "meter", "ApiKeys": [METER_KEY], "Priority": 1, "Unit": "token",
         "PlainTokens": 200, "RatePerS": METER_RATE, "Burst": METER_BURST});
     all["Tenants"].as_array_mut().unwrap().push(meter);
     all
 }
 
+/// Version of the software of an endpoint: those of one number take turns.
+pub(crate) fn software_of(id: &str) -> String {
+    let numbers = id.split('-').filter_map(|n| n.parse::<usize>().ok());
+    format!("v{}", numbers.sum::<usize>() % 2)
+}
+
 /// An endpoint behind its proxy.
 struct ProxiedEndpoint {
     instance: Instance,
@@ -67,6 +74,7 @@
         if n >= size.plain {
             instance.set_crash_trigger(FATAL_PART);
             instance.set_stream(EVENTS_PER_STREAM, EVENT_PAUSE);
+            instance.set_software(&software_of(&id));
         }
         let proxy = Proxy::start(instance.address()).await.unwrap();
         Self { instance, proxy }
@@ -260,6 +268,14 @@
             }
             Fault::Compact => self.rows.compact(),
             Fault::Restore => self.copy = Some(self.rows.copy()),
+            Fault::Announce { endpoint } => {
+                self.endpoints[endpoint].instance.announce_leaving(true);
+            }
+            Fault::Defer { endpoint } => {
+                let seconds = DEFER_TIME.as_secs_f64();
+                self.endpoints[endpoint].instance.refuse_for(Some(seconds));
+            }
+            Fault::SilenceStore => self.rows.silence_connections(),
             Fault::Limit { endpoint } => {
                 let instance = &self.endpoints[endpoint].instance;
                 instance.state_limit(Some(STATED_LIMIT));
@@ -279,7 +295,11 @@
             }
             Fault::Link { endpoint, .. } => self.endpoints[endpoint].proxy.set_mode(Mode::Pass),
             Fault::StoreLink { node, .. } => self.store_proxies[node].set_mode(Mode::Pass),
-            Fault::Leave { endpoint } => self.replace_endpoint(endpoint).await,
+            Fault::Leave { endpoint } | Fault::Announce { endpoint } => {
+                self.rows.remove("servers", &self.endpoints[endpoint].instance.id);
+                self.replace_endpoint(endpoint).await;
+            }
+            Fault::Defer { endpoint } => self.endpoints[endpoint].instance.refuse_for(None),
             Fault::Poison => self.shared.poison.store(false, Ordering::Relaxed),
             Fault::Limit { endpoint } => self.endpoints[endpoint].instance.state_limit(None),
             Fault::Restore => self.restore(),
@@ -294,6 +314,7 @@
             | Fault::CrashEngines
             | Fault::Configure
             | Fault::NameVersion
+            | Fault::SilenceStore
             | Fault::Compact => {}
         }
     }
@@ -325,6 +346,13 @@
             p.instance.runs().into_iter().map(move |r| (id.clone(), r))
         };
         self.history.sent = std::mem::take(&mut *self.shared.sent.lock().unwrap());
+        self.history.resumed = std::mem::take(&mut *self.shared.resumed.lock().unwrap());
+        let deferred_of = |p: &ProxiedEndpoint| {
+            let endpoint = p.instance.id.clone();
+            let deferred = p.instance.deferred().into_iter();
+            deferred.map(move |(attempt, at)| Deferred { endpoint: endpoint.clone(), attempt, at })
+        };
+        self.history.deferred = endpoints.clone().flat_map(deferred_of).collect();
         self.history.runs = endpoints.clone().flat_map(runs_of).collect();
         for limit in &mut self.history.limits {
             let stated = endpoints.clone().find(|p| p.instance.id == limit.endpoint);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -44,12 +44,16 @@
 const POISON_MS: (u64, u64) = (9_000, 12_000);
 /// Range of the time for which an endpoint states a limit, in ms.
 const LIMIT_MS: (u64, u64) = (8_000, 14_000);
+/// Range of the time for which an endpoint refuses all requests, in ms.
+const DEFER_MS: (u64, u64) = (4_000, 8_000);
 /// Range of the age of the copy from which the store is restored, in ms.
 const RESTORE_MS: (u64, u64) = (1_000, 9_000);
 /// Range of the time between the starts of two limits or restores, in ms.
 const DRILL_GAP_MS: (u64, u64) = (4_000, 12_000);
 /// Distinguishes the random numbers of limits and restores from those of other faults.
 const DRILL_STREAM: u64 = 1 << 32;
+/// Distinguishes those of notices of endpoints and of silent connections.
+const NOTICE_STREAM: u64 = 1 << 33;
 /// Range of the number of faults in a series.
 const FAULTS_PER_SERIES: (u32, u32) = (3, 9);
 /// Time without new faults after a series and at the end of the run, in ms. It is longer than
@@ -98,6 +102,12 @@
     Restore,
     /// An endpoint states a rate limit.
     Limit { endpoint: usize },
+    /// An endpoint says in its answers that it leaves, and is replaced at the end of the fault.
+    Announce { endpoint: usize },
+    /// An endpoint refuses all requests and states when to come back.
+    Defer { endpoint: usize },
+    /// The open connections to the store are silent from then on.
+    SilenceStore,
 }
 
 impl Fault {
@@ -115,6 +125,8 @@
                 | Self::NameVersion
                 | Self::Reload { .. }
                 | Self::Limit { .. }
+                | Self::Announce { .. }
+                | Self::Defer { .. }
         )
     }
 
@@ -144,7 +156,8 @@
             Self::Freeze { .. } => FREEZE_MS,
             Self::Stop { .. } => STOP_MS,
             Self::Poison => POISON_MS,
-            Self::Limit { .. } => LIMIT_MS,
+            Self::Limit { .. } | Self::Announce { .. } => LIMIT_MS,
+            Self::Defer { .. } => DEFER_MS,
             Self::Restore => RESTORE_MS,
             _ => DURATION_MS,
         }
@@ -219,6 +232,8 @@
         | Fault::Link { endpoint, .. }
         | Fault::Crash { endpoint }
         | Fault::Limit { endpoint }
+        | Fault::Announce { endpoint }
+        | Fault::Defer { endpoint }
         | Fault::Leave { endpoint } => Some(endpoint),
         _ => None,
     };
@@ -252,18 +267,32 @@
             at += QUIET_MS;
         }
     }
-    add_drills(seed, length_ms, size, &mut events);
+    let drills = |rng: &mut StdRng, endpoint| {
+        *[Fault::Restore, Fault::Limit { endpoint }].choose(rng).unwrap()
+    };
+    add_apart(seed ^ DRILL_STREAM, length_ms, size, &mut events, drills);
+    let notices = |rng: &mut StdRng, endpoint| {
+        let all = [Fault::Announce { endpoint }, Fault::Defer { endpoint }, Fault::SilenceStore];
+        *all.choose(rng).unwrap()
+    };
+    add_apart(seed ^ NOTICE_STREAM, length_ms, size, &mut events, notices);
     events
 }
 
-/// Adds limits of endpoints and restores of the store to the faults of a run. They are drawn
-/// apart, so that the other faults of a seed do not depend on them.
-fn add_drills(seed: u64, length_ms: u64, size: Size, events: &mut Vec<Event>) {
-    let mut rng = StdRng::seed_from_u64(seed ^ DRILL_STREAM);
+/// Adds faults to those of a run. They are drawn apart, so that the other faults of a seed do not
+/// depend on them.
+fn add_apart(
+    seed: u64,
+    length_ms: u64,
+    size: Size,
+    events: &mut Vec<Event>,
+    draw: impl Fn(&mut StdRng, usize) -> Fault,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
     let mut at = rng.random_range(DRILL_GAP_MS.0..DRILL_GAP_MS.1);
     while at + QUIET_MS < length_ms {
         let endpoint = rng.random_range(0..size.endpoints());
-        let fault = *[Fault::Restore, Fault::Limit { endpoint }].choose(&mut rng).unwrap();
+        let fault = draw(&mut rng, endpoint);
         let (least, most) = fault.duration();
         let end = at + rng.random_range(least..most);
         let overlaps = |e: &Event| e.end > at && e.at < end && conflict(e.fault, fault);
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use soak::callers::{Kind, Sent};
-use soak::check::{Config, Departure, History, NodeTime, StatedLimit, check};
+use soak::callers::{Kind, Resumed, Sent};
+use soak::check::{Config, Deferred, Departure, History, NodeTime, StatedLimit, check};
 use soak::plan::{Size, plan};
 use standin::caller::Answer;
 use standin::endpoint_instance::Run;
@@ -183,3 +183,54 @@
     history.limits[0].arrivals = (0..50).map(|n| now + ms(n * 200)).collect();
     assert_eq!(words(&history), [""; 0]);
 }
+
+/// An answer of the endpoint `i-0-0`, which says that it leaves.
+fn sealed(at: Instant) -> Sent {
+    let mut s = sent(Kind::Read, at, None);
+    s.answer = answer(200, &format!("answer to {}", s.attempt));
+    let headers = &mut s.answer.as_mut().unwrap().headers;
+    headers.insert("x-server-seal".to_owned(), format!("seal.i-0-0.{}", s.attempt));
+    headers.insert("server-leaving".to_owned(), "1".to_owned());
+    s
+}
+
+#[test]
+fn requests_at_an_endpoint_that_has_said_that_it_leaves_are_found() {
+    let now = Instant::now();
+    let sent = vec![sealed(now), sealed(now + ms(1_900)), sealed(now + ms(2_100))];
+    let runs = sent.iter().map(|s| run(&s.attempt, s.started, "studio")).collect();
+    let mut history = History { sent, runs, ..History::default() };
+    assert_eq!(words(&history), ["announced"]);
+    history.disturbed = vec![NodeTime { node: 0, from: now, until: now + ms(100) }];
+    assert!(words(&history).is_empty());
+}
+
+#[test]
+fn requests_in_the_pause_of_an_endpoint_are_found() {
+    let now = Instant::now();
+    let times = [0, 100, 400, 700, 900, 1_100];
+    let sent: Vec<Sent> = times.map(|at| sent(Kind::Read, now + ms(at), None)).to_vec();
+    let deferred = |s: &Sent| {
+        let (endpoint, attempt) = ("i-0-0".to_owned(), s.attempt.clone());
+        Deferred { endpoint, attempt, at: s.started }
+    };
+    let mut history =
+        History { deferred: sent.iter().map(deferred).collect(), sent, ..History::default() };
+    assert_eq!(words(&history), ["deferred"]);
+    history.deferred.remove(5);
+    assert!(words(&history).is_empty());
+}
+
+#[test]
+fn streams_joined_from_two_versions_are_found() {
+    let resumed = |next: &str| Resumed {
+        attempt: "a".to_owned(),
+        seals: ["seal.i-2-0.a".to_owned(), next.to_owned()],
+    };
+    let other = || resumed("seal.i-3-0.ar");
+    let mut history = History { resumed: vec![other(), other(), other()], ..History::default() };
+    assert_eq!(words(&history), ["joined"]);
+    history.resumed[0] = resumed("seal.i-3-1.ar");
+    history.resumed.push(resumed(""));
+    assert!(words(&history).is_empty());
+}
