--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -295,7 +295,9 @@
             }
             Fault::Link { endpoint, .. } => self.endpoints[endpoint].proxy.set_mode(Mode::Pass),
             Fault::StoreLink { node, .. } => self.store_proxies[node].set_mode(Mode::Pass),
-            Fault::Leave { endpoint } | Fault::Announce { endpoint } => {
+            Fault::Leave { endpoint } => self.replace_endpoint(endpoint).await,
+            Fault::Announce { endpoint } => {
+                // Its entry says all the time that it is ready.
                 self.rows.remove("servers", &self.endpoints[endpoint].instance.id);
                 self.replace_endpoint(endpoint).await;
             }
--- a/soak/tests/soak.rs
+++ b/soak/tests/soak.rs
@@ -60,7 +60,9 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn work_for_an_endpoint_that_left_is_found() {
-    let events = [Event { at: 500, end: 1_000, fault: Fault::Leave { endpoint: 0 } }];
+    // No other endpoint of the service is left that could be preferred.
+    let leave = |endpoint| Event { at: 500, end: 8_500, fault: Fault::Leave { endpoint } };
+    let events = [leave(0), leave(1)];
     let lines = findings(9_000, &events, "GrantLeaving").await;
     assert!(found(&lines, "leave"), "{lines:#?}");
 }
