Return the tokens of take-ups that are refused

A team paid for take-ups that were refused because the version of the stream was not known, and got 429 for requests within its rate.

Cause: the origin of a stream is looked up after the team's limit has admitted the request, and that refusal left by another way than the others.

Result: edge_resumed::refused_streams_cost_their_team_nothing failed before (429) and passes; the other tests of the file pass as before.

--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -166,7 +166,8 @@
             return Err(Refusal { status, reason: "over_rate", retry_after: Some(after) });
         }
     }
-    let origin = find_origin(edge, &route, parsed, log).await?;
+    let origin = find_origin(edge, &route, parsed, log).await;
+    let origin = origin.inspect_err(|r| refund_tokens(edge, team.as_deref(), cost, r))?;
     let service =
         origin.as_ref().map_or_else(|| pick_service(&route, parsed), |o| o.service.clone());
     edge.resends.borrow_mut().on_request(begun, &service);
@@ -186,12 +187,14 @@
         abandon_at: begun + answer_time,
     };
     let answered = send_until_answered(edge, &req, &routing, log).await;
-    if let (Err(refusal), Some(team)) = (&answered, &req.team)
-        && refusal.status == StatusCode::SERVICE_UNAVAILABLE
-    {
+    answered.inspect_err(|refusal| refund_tokens(edge, req.team.as_deref(), cost, refusal))
+}
+
+/// Returns what a request that did not run has cost its team.
+fn refund_tokens(edge: &Edge, team: Option<&Team>, cost: f64, refusal: &Refusal) {
+    if let Some(team) = team.filter(|_| refusal.status == StatusCode::SERVICE_UNAVAILABLE) {
         edge.team_limits.borrow_mut().refund(&team.name, cost);
     }
-    answered
 }
 
 /// Refuses a request with a feature that makes endpoints crash, until the quarantine expires.
--- a/tests/edge_resumed.rs
+++ b/tests/edge_resumed.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use standin::caller::{CallerRequest, KEY, read_events, wait_until};
+use standin::caller::{CallerRequest, KEY, exchange, read_events, wait_until};
 use standin::endpoint_instance::Instance;
 use standin::node::{Node, NodeAddresses};
 use standin::row_store::RowStoreFault;
@@ -247,3 +247,21 @@
     })
     .await;
 }
+
+// What a refused take-up had cost its team was not returned.
+#[tokio::test]
+async fn refused_streams_cost_their_team_nothing() {
+    let fleet = Fleet::start("resumed-cost", &TWO_VERSIONS).await;
+    let front = fleet.nodes[0].1.frontend;
+    // The burst allows one of them at a time.
+    for n in 0..10 {
+        let attempt = format!("f{n}");
+        let request = CallerRequest::new("POST /ask/1", &attempt)
+            .with_header("X-Model", "base")
+            .with_header("X-Token-Count", "90000,10")
+            .with_header("Last-Event-Id", "3")
+            .with_header("Resumes", "unknown");
+        let answer = exchange(front, &request.bytes()).await.expect("an answer");
+        assert_eq!((answer.status, answer.body.as_str()), (503, "stream_version_unknown"));
+    }
+}
