--- a/review/scene/src/http.rs
+++ b/review/scene/src/http.rs
@@ -139,6 +139,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
     pub status: u16,
+    pub body: Vec<u8>,
     pub whole: bool,
 }
 
@@ -166,8 +167,8 @@
         let (line, headers) = read_headers(&mut self.reader)?;
         let status = line.split(' ').nth(1)?.parse().ok()?;
         match read_body(&mut self.reader, &headers) {
-            Some(_) => Some(Answer { status, whole: true }),
-            None => Some(Answer { status, whole: false }),
+            Some(body) => Some(Answer { status, body, whole: true }),
+            None => Some(Answer { status, body: Vec::new(), whole: false }),
         }
     }
 }
--- a/review/scene/src/main.rs
+++ b/review/scene/src/main.rs
@@ -6,12 +6,16 @@
 mod one;
 mod runner;
 mod store;
+mod stream;
 mod world;
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
+    if args.get(1).is_some_and(|a| a == "runner") {
+        return ExitCode::from(runner::Runner::main(&args[2..]));
+    }
     let [_, case, record] = args.as_slice() else {
         eprintln!("scene CASE RECORD");
         return ExitCode::from(2);
@@ -19,6 +23,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     let code = match case.as_str() {
         "late-release" => one::late_release(trouble, record),
+        "cut-body" => stream::cut_body(trouble, record),
+        "cut-stream" => stream::cut_stream(trouble, record),
         other => {
             eprintln!("unknown case {other}");
             2
--- a/review/scene/src/runner.rs
+++ b/review/scene/src/runner.rs
@@ -1,11 +1,13 @@
 //! Stand-in of a model runner: orders, reports and streams, as the pages describe them.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Conn, Request, serve};
+use crate::http::{Client, Conn, Request, serve};
 use crate::json::{Json, map, num, text};
+use crate::world::{BEAT, MODEL};
 
 /// Time of an adapter's load from the weight store, and of a later one.
 const FETCH: Duration = Duration::from_millis(250);
@@ -15,7 +17,11 @@
 /// Time of a step of a stream.
 const STEP: Duration = Duration::from_millis(30);
 /// Events of a stream.
-const EVENTS: usize = 8;
+pub const EVENTS: usize = 14;
+/// Rows of a plain answer, those of a piece, and the time of a piece.
+pub const ROWS: usize = 40;
+const PIECE_ROWS: usize = 10;
+const PIECE: Duration = Duration::from_millis(25);
 
 /// An order as it arrived.
 #[derive(Clone, Debug)]
@@ -64,6 +70,10 @@
     pub model: String,
     slots: usize,
     born: u64,
+    /// Of so many streams one has neither a length nor chunks; 0 for none.
+    unframed: Arc<AtomicUsize>,
+    /// Whether it prints the attempts that it runs.
+    speaks: bool,
     state: Arc<Mutex<State>>,
 }
 
@@ -76,11 +86,25 @@
         slots: usize,
         born: u64,
         empty: bool,
+    ) -> Self {
+        Self::start_with(id, address, model, slots, born, empty, false)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn start_with(
+        id: &str,
+        address: SocketAddr,
+        model: &str,
+        slots: usize,
+        born: u64,
+        empty: bool,
+        speaks: bool,
     ) -> Self {
         let model_ready = (!empty).then(Instant::now);
         let state = Arc::new(Mutex::new(State { model: model_ready, ..State::default() }));
         let (id, model) = (id.to_owned(), model.to_owned());
-        let mut runner = Self { id, address, model, slots, born, state };
+        let unframed = Arc::default();
+        let mut runner = Self { id, address, model, slots, born, unframed, speaks, state };
         let r = Arc::new(Mutex::new(runner.clone()));
         let at = r.clone();
         runner.address = serve(address, move |conn| {
@@ -91,6 +115,40 @@
         runner
     }
 
+    /// Runs as a process of its own until its input ends: `runner ID ADDRESS STORE SERVICE`. Each line of
+    /// its input is a number for [`Runner::set_unframed`].
+    pub fn main(args: &[String]) -> u8 {
+        let [id, address, store, service] = args else { return 2 };
+        let (Ok(address), Ok(store)) = (address.parse(), store.parse()) else { return 2 };
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let r = Self::start_with(id, address, MODEL, 18, born, false, true);
+        let (beat, service) = (r.clone(), service.clone());
+        std::thread::spawn(move || {
+            for n in 1.. {
+                let body = beat.entry(&service, n).to_string();
+                let head = format!(
+                    "POST /own/{} HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n{body}",
+                    beat.id,
+                    body.len()
+                );
+                if let Some(mut c) = Client::connect(store, BEAT) {
+                    c.send(head.as_bytes());
+                    c.answer();
+                }
+                std::thread::sleep(BEAT);
+            }
+        });
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            r.set_unframed(line.trim().parse().unwrap_or(0));
+        }
+        0
+    }
+
+    /// Answers one of so many streams without a length and without chunks; 0 for none.
+    pub fn set_unframed(&self, one_of: usize) {
+        self.unframed.store(one_of, Ordering::Relaxed);
+    }
+
     pub fn orders(&self) -> Vec<Order> {
         self.state.lock().unwrap().orders.clone()
     }
@@ -113,7 +171,10 @@
 
     /// The entry by which the runner registers itself.
     pub fn entry(&self, service: &str, sequence: u64) -> Json {
-        let models = self.models(&self.state.lock().unwrap());
+        let models = match service {
+            "assist" => self.models(&self.state.lock().unwrap()),
+            _ => Json::List(Vec::new()),
+        };
         map(&[
             ("Service", text(service)),
             ("Address", text(self.address.to_string())),
@@ -222,6 +283,8 @@
                 conn.answer(status, "", b"{}")
             } else if request.path == "/healthz" {
                 conn.answer(200, &echo, b"")
+            } else if request.path.starts_with("/look/") {
+                self.look(&mut conn, &attempt, &echo)
             } else {
                 self.run(&mut conn, &request, &attempt, &echo)
             };
@@ -231,6 +294,36 @@
         }
     }
 
+    /// Whether the answer to an attempt has neither a length nor chunks; notes the run.
+    fn begins_unframed(&self, attempt: &str) -> bool {
+        let one_of = self.unframed.load(Ordering::Relaxed);
+        let number = u64::from_str_radix(attempt, 16).unwrap_or(0).wrapping_mul(0x9e37_79b9) >> 16;
+        let unframed = one_of > 0 && (number % 1_000) * one_of as u64 <= 1_000;
+        if self.speaks {
+            println!("{} {attempt}", if unframed { "unframed" } else { "run" });
+        }
+        unframed
+    }
+
+    /// Answers a plain request in pieces.
+    fn look(&self, conn: &mut Conn, attempt: &str, echo: &str) -> bool {
+        let unframed = self.begins_unframed(attempt);
+        let rows: Vec<String> = (1..=ROWS).map(|n| format!("id: {n:02} {attempt}\n")).collect();
+        let framing = match unframed {
+            true => "Connection: close".to_owned(),
+            false => format!("Content-Length: {}", rows.concat().len()),
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{echo}X-Server-Seal: seal.{attempt}\r\n{framing}\r\n\r\n"
+        );
+        let mut good = conn.write(head.as_bytes());
+        for piece in rows.chunks(PIECE_ROWS) {
+            std::thread::sleep(PIECE);
+            good = good && conn.write(piece.concat().as_bytes());
+        }
+        good && !unframed
+    }
+
     fn run(&self, conn: &mut Conn, request: &Request, attempt: &str, echo: &str) -> bool {
         let model = request.header("x-model");
         let adapter = model.split_once('/').map(|(_, a)| a.to_owned());
@@ -254,16 +347,22 @@
             .unwrap()
             .runs
             .push(Run { at: Instant::now(), attempt: attempt.to_owned() });
+        let unframed = self.begins_unframed(attempt);
+        let framing = if unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{echo}X-Server-Seal: seal.{attempt}\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{echo}X-Server-Seal: seal.{attempt}\r\nX-Weight-Versions: 1\r\n{framing}\r\n\r\n"
         );
         let mut good = conn.write(head.as_bytes());
         for n in 1..=EVENTS {
             std::thread::sleep(STEP);
             let event = format!("id: {n}\ndata: {attempt}\n\n");
-            good = good && conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            good = good
+                && match unframed {
+                    true => conn.write(event.as_bytes()),
+                    false => conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()),
+                };
         }
-        good = good && conn.write(b"0\r\n\r\n");
+        good = good && !unframed && conn.write(b"0\r\n\r\n");
         let mut state = self.state.lock().unwrap();
         if let Some(a) = state.adapters.iter_mut().find(|a| Some(&a.name) == adapter.as_ref()) {
             a.active -= 1;
--- a/review/scene/src/store.rs
+++ b/review/scene/src/store.rs
@@ -100,6 +100,12 @@
         self.shared.1.notify_all();
     }
 
+    /// Keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.shared.0.lock().unwrap();
+        state.rows.keys().filter(|(t, _)| t == table).map(|(_, k)| k.clone()).collect()
+    }
+
     /// Value of a row with its version.
     pub fn read(&self, table: &str, key: &str) -> Option<(Json, u64)> {
         let state = self.shared.0.lock().unwrap();
@@ -140,6 +146,15 @@
                 shared.1.notify_all();
                 answer
             }
+            // A runner's own entry, which the nodes may not write.
+            path if path.starts_with("/own/") => {
+                let mut state = shared.0.lock().unwrap();
+                state.version += 1;
+                state.put("servers", &path[5..], Some(base64(&request.body)));
+                drop(state);
+                shared.1.notify_all();
+                (200, Json::Null)
+            }
             "/rows-get" => get(shared, &request),
             "/rows-feed" => feed(shared, &request),
             _ => (404, Json::Null),
--- a/review/scene/src/world.rs
+++ b/review/scene/src/world.rs
@@ -17,7 +17,7 @@
 pub const MODEL: &str = "m0";
 pub const KEY: &str = "key0000000000000000a";
 const HOST: &str = "ask.example";
-const BEAT: Duration = Duration::from_millis(1_200);
+pub const BEAT: Duration = Duration::from_millis(1_200);
 
 /// What was sent, answered and run, with times from the start of the world.
 #[derive(Clone)]
@@ -41,6 +41,12 @@
         self.add(Instant::now(), line);
     }
 
+    /// Whether a line of the record holds these words.
+    pub fn find(&self, is_found: impl Fn(&str) -> bool) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().map(|(_, l)| l).filter(|l| is_found(l)).cloned().collect()
+    }
+
     pub fn write(&self, path: &str) {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by_key(|(at, _)| *at);
@@ -137,7 +143,7 @@
     }
 }
 
-fn address(net: u8, host: u8, port: u16) -> SocketAddr {
+pub fn address(net: u8, host: u8, port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::new(127, 77, net, host), port))
 }
 
@@ -192,6 +198,11 @@
         ("MaxConnections", num(370.0)),
         ("Engine", engine),
     ]);
+    let ledger = map(&[
+        ("Name", text("ledger")),
+        ("HealthPath", text("/healthz")),
+        ("MaxConnections", num(110.0)),
+    ]);
     let limits = map(&[
         ("MaxHeaderBytes", num(16_384.0)),
         ("MaxBodyBytes", num(4_194_304.0)),
@@ -208,8 +219,14 @@
     ]);
     map(&[
         ("Version", num(4.0)),
-        ("Routes", Json::List(vec![route("ask", "/ask/", "streaming", "assist", 6_000.0)])),
-        ("Services", Json::List(vec![service])),
+        (
+            "Routes",
+            Json::List(vec![
+                route("ask", "/ask/", "streaming", "assist", 6_000.0),
+                route("look", "/look/", "safe", "ledger", 600.0),
+            ]),
+        ),
+        ("Services", Json::List(vec![service, ledger])),
         ("Limits", limits),
         ("Tenants", Json::List(vec![tenant])),
     ])
@@ -350,7 +367,8 @@
     pub fn wait_ready(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(15);
         while Instant::now() < until {
-            let held = self.runners.iter().all(|r| self.holder(&r.id).is_some());
+            let ids = self.store.keys("servers");
+            let held = !ids.is_empty() && ids.iter().all(|id| self.is_held(id));
             if held && self.nodes.iter().all(Node::is_ready) {
                 return true;
             }
@@ -359,13 +377,19 @@
         false
     }
 
+    /// Whether a runner has a holder, unless it needs none.
+    fn is_held(&self, id: &str) -> bool {
+        let entry = self.store.read("servers", id);
+        self.holder(id).is_some() || entry.is_some_and(|(e, _)| e.get("Service").str() == "ledger")
+    }
+
     /// Name of the node that holds a runner, with its fence.
     pub fn holder(&self, runner: &str) -> Option<(String, u64)> {
         let (value, fence) = self.store.read("holders", runner)?;
         Some((value.get("node").str().to_owned(), fence))
     }
 
-    /// Starts clients that ask for adapters through the nodes by turns, as the platform's balancer
+    /// Starts clients that ask for one of so many adapters (for rows of the ledger if 0) through the nodes by turns, as the platform's balancer
     /// sends them: each on a connection of its own to a node that is ready.
     pub fn clients(&self, count: usize, pause: Duration, adapters: u64) -> Vec<JoinHandle<()>> {
         static ATTEMPTS: AtomicU64 = AtomicU64::new(1);
@@ -380,11 +404,17 @@
                     sleep(pause);
                     let n = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
                     let (name, front) = &fronts[turn % fronts.len()];
-                    let adapter = (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) % adapters + 1;
+                    let adapter =
+                        (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) % adapters.max(1) + 1;
                     let attempt = format!("{n:016x}");
-                    let request = format!(
-                        "POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Model: {MODEL}/a{adapter}\r\nX-Token-Count: 600,60\r\nX-Prompt-Prefix: {n:x}:600\r\nX-Deadline-Ms: 6000\r\nAuthorization: Token {KEY}\r\nContent-Length: 2\r\n\r\nhi"
-                    );
+                    let request = match adapters {
+                        0 => format!(
+                            "GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 600\r\nAuthorization: Token {KEY}\r\n\r\n"
+                        ),
+                        _ => format!(
+                            "POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Model: {MODEL}/a{adapter}\r\nX-Token-Count: 600,60\r\nX-Prompt-Prefix: {n:x}:600\r\nX-Deadline-Ms: 6000\r\nAuthorization: Token {KEY}\r\nContent-Length: 2\r\n\r\nhi"
+                        ),
+                    };
                     let sent = Instant::now();
                     let Some(mut client) = Client::connect(*front, Duration::from_secs(7)) else {
                         continue;
@@ -393,7 +423,10 @@
                     let answer =
                         if client.send(request.as_bytes()) { client.answer() } else { None };
                     let what = match answer {
-                        Some(a) if a.whole => format!("{}", a.status),
+                        Some(a) if a.whole => {
+                            let events = a.body.windows(4).filter(|w| w == b"id: ").count();
+                            format!("{} with {events} parts, complete", a.status)
+                        }
                         Some(a) => format!("{} cut", a.status),
                         None => "no answer".to_owned(),
                     };
