--- a/review/scene/src/runner.rs
+++ b/review/scene/src/runner.rs
@@ -16,6 +16,8 @@
 const MODEL_LOAD: Duration = Duration::from_millis(1_900);
 /// Time of a step of a stream.
 const STEP: Duration = Duration::from_millis(30);
+/// The same at a runner that is a process of its own.
+const SLOW_STEP: Duration = Duration::from_millis(60);
 /// Events of a stream.
 pub const EVENTS: usize = 14;
 /// Rows of a plain answer, those of a piece, and the time of a piece.
@@ -354,7 +356,7 @@
         );
         let mut good = conn.write(head.as_bytes());
         for n in 1..=EVENTS {
-            std::thread::sleep(STEP);
+            std::thread::sleep(if self.speaks { SLOW_STEP } else { STEP });
             let event = format!("id: {n}\ndata: {attempt}\n\n");
             good = good
                 && match unframed {
