Write a node's lease only over the row that it knows, and release it by a row

The record of the stand-in's transactions shows the removal without a condition; rows removed by hand show the rest without any release.

A row is now written only over the version that its process knows, a release is a row that says so, a missing row is waited for as an unchanged one, and a renewal depends on the rows of the endpoints held, so that a node learns a loss from its next write and stops giving orders. The log says from whom an endpoint was claimed and why that lease was over.

Two unit tests took a missing row for a release, which is the fault; they now use a released row, and new ones cover the missing row.

--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -1,14 +1,15 @@
 //! Leases of edge nodes, and the one node that may give orders to each endpoint: its holder.
 //!
-//! A node's lease is its row in the table `nodes`. A node holds an endpoint if its name is in
-//! the endpoint's row in the table `holders`; the version of that row is the fencing token of
-//! its orders. Only the lease is renewed.
+//! A node's lease is its row in the table `nodes`; see [`crate::node_row`]. A node holds an
+//! endpoint if its name is in the endpoint's row in the table `holders`; the version of that row
+//! is the fencing token of its orders. Only the lease is renewed, on the condition that the rows
+//! by which the node holds its endpoints are unchanged.
 //!
-//! A lease has lapsed when its row has not changed for the lease's validity plus a margin,
-//! both measured on this node's clock. Another node then claims the endpoints and pauses
-//! before its first order, because orders of two holders to one endpoint need that pause
-//! between them. A restarted node claims its own endpoints at once, because it is the same
-//! holder.
+//! A lease has lapsed when its row has not changed, or has been missing, for the lease's validity
+//! plus a margin, both measured on this node's clock. It has been released when its row says so.
+//! Another node then claims the endpoints and pauses before its first order, because orders of
+//! two holders to one endpoint need that pause between them. A restarted node claims its own
+//! endpoints at once, because it is the same holder.
 //!
 //! When the store is restored from an older copy, rows of the last seconds are gone or back. A
 //! holder then goes on under its lease of the former era and writes its claims again. Nobody
@@ -19,6 +20,7 @@
 use crate::endpoint_choice::rendezvous_first;
 use crate::failpoint::{Failpoint, active};
 use crate::ids::{Map, Set};
+use crate::node_row::{NodeRecord, OwnRow, RowLoss};
 use crate::row_version;
 use crate::time::Ms;
 
@@ -36,23 +38,12 @@
 pub const UNLISTED_FOR: Ms = Ms::secs(60);
 /// Most rows removed at once; the store's transactions take up to 100 entries.
 const MAX_REMOVALS: usize = 50;
+/// Most claims that a renewal of the lease depends on; see [`MAX_REMOVALS`].
+const MAX_CONDITIONS: usize = 90;
 /// Time that a starting node waits for the rows of other nodes before it claims endpoints
 /// that it did not hold before.
 pub const FIRST_CLAIM_DELAY: Ms = Ms(1_500);
 
-/// A row of the table `nodes`.
-#[derive(Clone, Debug, PartialEq)]
-pub struct NodeRecord {
-    /// Name of the node.
-    pub name: Rc<str>,
-    /// Address for datagrams.
-    pub address: std::net::SocketAddr,
-    /// Version of the row.
-    pub version: u64,
-    /// Instant at which this version was first seen.
-    pub seen: Ms,
-}
-
 /// A row of the table `holders`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HolderRecord {
@@ -87,6 +78,19 @@
     pub former_lease: Option<(Rc<str>, u64)>,
 }
 
+/// What is known of a lease of another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseState {
+    /// It may be valid.
+    Valid,
+    /// It was released.
+    Released,
+    /// Its row has been unchanged for so long that it has lapsed.
+    Unchanged,
+    /// Its row has been missing for so long that it has lapsed.
+    Missing,
+}
+
 /// Counts of endpoints from which claims are decided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClaimCounts {
@@ -110,9 +114,15 @@
     lease_end: Ms,
     /// Whether the lease was released, which is final.
     released: bool,
+    /// This node's row.
+    own_row: OwnRow,
     nodes: Map<Rc<str>, NodeRecord>,
+    /// Nodes that hold endpoints and have no row, with the instant at which that was first seen.
+    missing: Map<Rc<str>, Ms>,
     holders: Map<Rc<str>, HolderRecord>,
     held: Map<Rc<str>, OrderFence>,
+    /// Whether the holders have been read since this node's lease began.
+    holders_read: bool,
     /// Endpoints that have rows and are not listed, with the instant from which on.
     unlisted: Map<Rc<str>, Ms>,
     /// Pauses of claims that were written but whose rows have not been read back.
@@ -140,9 +150,12 @@
             started_at: now,
             lease_end: Ms(0),
             released: false,
+            own_row: OwnRow::new(start),
             nodes: Map::default(),
+            missing: Map::default(),
             holders: Map::default(),
             held: Map::default(),
+            holders_read: false,
             unlisted: Map::default(),
             pauses: Map::default(),
             nodes_read: false,
@@ -179,14 +192,42 @@
     /// read before the next order.
     pub fn on_renewed(&mut self, sent: Ms, acknowledged: Ms) {
         if acknowledged >= self.lease_end {
-            self.held.clear();
-            self.pauses.clear();
+            self.drop_claims();
         }
         if !self.released {
             self.lease_end = self.lease_end.max(sent + LEASE_TTL);
         }
     }
 
+    /// Forgets all endpoints that this node holds until the holders are read.
+    fn drop_claims(&mut self) {
+        self.held.clear();
+        self.pauses.clear();
+        self.holders_read = false;
+    }
+
+    /// This node's row.
+    pub fn own_row(&self) -> &OwnRow {
+        &self.own_row
+    }
+
+    /// Records that this node's row was written with this version.
+    pub fn on_row_written(&mut self, version: u64) {
+        self.own_row.on_written(version);
+    }
+
+    /// Rows of the endpoints that this node holds, with the versions that they must have when the
+    /// lease is renewed. A restored store does not know claims of the former era.
+    pub fn confirmed_claims(&self) -> impl Iterator<Item = (&Rc<str>, u64)> {
+        let fences = self.held.iter().map(|(id, e)| (id, e.fence));
+        fences.filter(|(_, fence)| row_version::era(*fence) >= self.era).take(MAX_CONDITIONS)
+    }
+
+    /// Whether the holders have been read since this node's lease began.
+    pub fn holders_read(&self) -> bool {
+        self.holders_read
+    }
+
     /// Whether this node's lease is valid.
     pub fn has_lease(&self, now: Ms) -> bool {
         now < self.lease_end
@@ -199,11 +240,23 @@
         self.held.clear();
     }
 
-    /// Replaces the nodes by the rows just read.
+    /// Whether this node has released its lease.
+    pub fn is_released(&self) -> bool {
+        self.released
+    }
+
+    /// Replaces the nodes by the rows just read. Ends the lease if this node has lost its row, and
+    /// returns how.
     ///
     /// A row with an unchanged version keeps the instant at which it was first seen.
-    pub fn on_nodes(&mut self, now: Ms, rows: Vec<NodeRecord>) {
+    pub fn on_nodes(&mut self, now: Ms, rows: Vec<NodeRecord>) -> Option<RowLoss> {
         self.nodes_read = true;
+        let own = rows.iter().find(|row| row.name == self.name);
+        let loss = self.own_row.on_read(own, self.era);
+        if loss.is_some() {
+            self.lease_end = Ms(0);
+            self.drop_claims();
+        }
         let mut old = std::mem::take(&mut self.nodes);
         for mut row in rows {
             match old.remove(&row.name) {
@@ -212,11 +265,14 @@
             }
             self.nodes.insert(row.name.clone(), row);
         }
+        loss
     }
 
     /// Replaces the holders by the rows just read.
     pub fn on_holders(&mut self, now: Ms, rows: Vec<(Rc<str>, HolderRecord)>) {
+        self.holders_read = true;
         self.holders = rows.into_iter().collect();
+        self.note_missing(now);
         let (name, start) = (self.name.clone(), self.start);
         let holders = &self.holders;
         let own = |h: &HolderRecord| h.node == name && h.start == start;
@@ -247,6 +303,16 @@
         }
     }
 
+    /// Takes note of the nodes that hold endpoints and have no row.
+    fn note_missing(&mut self, now: Ms) {
+        let mut since = std::mem::take(&mut self.missing);
+        for node in self.holders.values().map(|h| &h.node) {
+            if !self.nodes.contains_key(node) && !self.missing.contains_key(node) {
+                self.missing.insert(node.clone(), since.remove(node).unwrap_or(now));
+            }
+        }
+    }
+
     /// Records that a claim was written. Its fencing token is known once the holders are read.
     pub fn on_claimed(&mut self, claim: &HolderClaim) {
         self.held.remove(&claim.endpoint);
@@ -255,22 +321,35 @@
 
     /// Nodes that may be admitting requests, whether or not they have a lease.
     pub fn counted_nodes(&self, now: Ms) -> impl Iterator<Item = &NodeRecord> {
-        self.nodes.values().filter(move |n| now.since(n.seen) < NODE_COUNTED_FOR)
+        let nodes = self.nodes.values().filter(|n| !n.released);
+        nodes.filter(move |n| now.since(n.seen) < NODE_COUNTED_FOR)
     }
 
     /// Nodes whose leases have not lapsed.
     pub fn live_nodes(&self, now: Ms) -> impl Iterator<Item = &NodeRecord> {
-        self.nodes.values().filter(move |n| now.since(n.seen) < LEASE_TTL + CLOCK_MARGIN)
+        let nodes = self.nodes.values().filter(|n| !n.released);
+        nodes.filter(move |n| now.since(n.seen) < LEASE_TTL + CLOCK_MARGIN)
     }
 
-    /// Whether a node has a row in the table `nodes`.
+    /// Whether a node has a row in the table `nodes` and has not released its lease.
     pub fn has_node(&self, node: &str) -> bool {
-        self.nodes.contains_key(node)
+        self.nodes.get(node).is_some_and(|n| !n.released)
+    }
+
+    /// What this node knows of another one's lease.
+    pub fn lease_state(&self, now: Ms, node: &str) -> LeaseState {
+        let lapsed = |since: Ms| now.since(since) >= LEASE_TTL + CLOCK_MARGIN;
+        match (self.nodes.get(node), self.missing.get(node)) {
+            (Some(row), _) if row.released => LeaseState::Released,
+            (Some(row), _) if lapsed(row.seen) => LeaseState::Unchanged,
+            (None, Some(since)) if lapsed(*since) => LeaseState::Missing,
+            _ => LeaseState::Valid,
+        }
     }
 
-    /// Whether a node's lease has not lapsed.
+    /// Whether a node's lease may be valid.
     fn is_live(&self, now: Ms, node: &str) -> bool {
-        self.nodes.get(node).is_some_and(|n| now.since(n.seen) < LEASE_TTL + CLOCK_MARGIN)
+        self.lease_state(now, node) == LeaseState::Valid
     }
 
     /// Fencing token of orders to an endpoint, if this node may give them now.
@@ -340,6 +419,13 @@
         due.map(|(id, h)| (id.clone(), h.fence)).take(MAX_REMOVALS).collect()
     }
 
+    /// Records that rows were removed.
+    pub fn on_removed(&mut self, rows: &[(Rc<str>, u64)]) {
+        for (id, _) in rows {
+            self.held.remove(id);
+        }
+    }
+
     /// Claims that this node should write, given the instance IDs of all engine endpoints.
     pub fn due_claims(&self, now: Ms, engines: &[Rc<str>]) -> Vec<HolderClaim> {
         if !self.has_lease(now) || !self.nodes_read {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod memory;
 mod mesh;
 pub mod metrics;
+pub mod node_row;
 pub mod node_settings;
 pub mod node_tasks;
 mod openai;
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -207,7 +207,8 @@
     commit_part(edge, "", changes, conditions).await
 }
 
-/// Commits changes of a partition if the conditions hold. Versions of a former era hold no more,
+/// Commits changes of a partition if the conditions hold. Returns the newest version of the store,
+/// which may be newer than the changed rows. Versions of a former era hold no more,
 /// even if the store has given them out again.
 pub(crate) async fn commit_part(
     edge: &Edge,
@@ -223,7 +224,10 @@
     }
     let request = store::commit_request(part, changes, conditions);
     let answer = call_store(edge, request, CallMode::PLAIN).await?;
-    store::decode_commit(answer.status, &answer.body)
+    Ok(match store::decode_commit(answer.status, &answer.body)? {
+        Outcome::Done(version) => Outcome::Done(row_version::qualify(answer.era, version)),
+        other => other,
+    })
 }
 
 /// Logs a row that cannot be decoded.
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -21,15 +21,14 @@
 
 use crate::crash_watch;
 use crate::edge::{Edge, EncodedEntry};
-use crate::endpoint_holders::{
-    HolderClaim, HolderRecord, NodeRecord, RENEW_INTERVAL, UNLISTED_FOR,
-};
+use crate::endpoint_holders::{HolderClaim, HolderRecord, RENEW_INTERVAL, UNLISTED_FOR};
 use crate::endpoint_table::EndpointEntry;
 use crate::error::{Error, Result};
 use crate::generated::mesh as wire;
 use crate::ids::Set;
 use crate::log_sink::decision;
 use crate::mesh;
+use crate::node_row::NodeRecord;
 use crate::platform::store::{Change, Condition, Outcome, Row, Rows};
 use crate::platform::{document, entry};
 use crate::read_schedule::ReadSchedule;
@@ -43,6 +42,8 @@
 const NODES_TABLE: &str = "nodes";
 /// Table of the endpoints' holders.
 const HOLDERS_TABLE: &str = "holders";
+/// Most attempts to write the node's row; each further one follows a read of the row.
+const MAX_LEASE_WRITES: usize = 4;
 /// Most consecutive membership rounds that skip reading nodes and holders.
 const MAX_ROUNDS_UNREAD: u32 = 4;
 /// Interval at which a starting node checks whether it has read any endpoints.
@@ -62,6 +63,8 @@
 struct NodeValue {
     address: SocketAddr,
     start: u64,
+    #[serde(default)]
+    released: bool,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -368,18 +371,57 @@
     }
 }
 
-async fn renew_lease(edge: &Edge) -> Result<bool> {
-    let sent = BootClock.now();
+/// Writes this node's row over the version that it knows, to renew or to release its lease; false if
+/// the store was unavailable or the row went on changing.
+async fn write_lease(edge: &Edge, released: bool) -> Result<bool> {
     let address = edge.socket.local_addr().map_err(|e| Error::io("mesh", e))?;
-    let value = NodeValue { address, start: edge.start };
+    let value = NodeValue { address, start: edge.start, released };
     let value = serde_json::to_vec(&value).map_err(|e| Error::input(NODES_TABLE, e))?;
     let key = edge.deployment.node.as_str();
-    let change = Change { table: NODES_TABLE, key, expected: None, value: Some(&value) };
-    let done = matches!(commit(edge, &[change], &[]).await?, Outcome::Done(_));
-    if done {
-        edge.holders.borrow_mut().on_renewed(sent, BootClock.now());
+    for _ in 0..MAX_LEASE_WRITES {
+        let (expected, claims) = {
+            let holders = edge.holders.borrow();
+            let claims = holders.confirmed_claims().map(|(id, fence)| (id.clone(), fence));
+            (holders.own_row().version(), claims.collect::<Vec<_>>())
+        };
+        let Some(expected) = expected else {
+            if !read_nodes(edge).await? {
+                return Ok(false);
+            }
+            continue;
+        };
+        let may_write = {
+            let holders = edge.holders.borrow();
+            released == holders.is_released() && (!released || holders.own_row().is_written())
+        };
+        if !may_write {
+            return Ok(true);
+        }
+        let change =
+            Change { table: NODES_TABLE, key, expected: Some(expected), value: Some(&value) };
+        let conditions: Vec<_> = claims
+            .iter()
+            .map(|(id, fence)| Condition { table: HOLDERS_TABLE, key: id, version: *fence })
+            .collect();
+        let sent = BootClock.now();
+        match commit(edge, &[change], &conditions).await? {
+            Outcome::Done(version) => {
+                let mut holders = edge.holders.borrow_mut();
+                holders.on_row_written(version);
+                if !released {
+                    holders.on_renewed(sent, BootClock.now());
+                }
+                return Ok(true);
+            }
+            Outcome::Refused => {
+                if !(read_nodes(edge).await? && read_holders(edge).await?) {
+                    return Ok(false);
+                }
+            }
+            Outcome::Unavailable(_) => return Ok(false),
+        }
     }
-    Ok(done)
+    Ok(false)
 }
 
 async fn read_nodes(edge: &Edge) -> Result<bool> {
@@ -396,10 +438,14 @@
             }
         };
         let name = Rc::from(row.key.as_str());
-        Some(NodeRecord { name, address: value.address, version: row.version, seen: now })
+        let NodeValue { address, start, released } = value;
+        Some(NodeRecord { name, address, start, released, version: row.version, seen: now })
     };
     let rows = nodes.rows.iter().filter_map(node).collect();
-    edge.holders.borrow_mut().on_nodes(now, rows);
+    let known = edge.holders.borrow().own_row().version();
+    if let Some(loss) = edge.holders.borrow_mut().on_nodes(now, rows) {
+        decision!("lease_lost", "row": format!("{loss:?}"), "version": known);
+    }
     Ok(true)
 }
 
@@ -442,8 +488,12 @@
     });
     match commit(edge, &[change], condition.as_slice()).await? {
         Outcome::Done(_) => {
+            let state = |node| edge.holders.borrow().lease_state(BootClock.now(), node);
+            let former = former_lease.map(|(node, _)| (node.to_string(), state(node)));
             decision!("holder_claimed", "endpoint": &*claim.endpoint,
-                "before": claim.expected, "pause_ms": claim.pause.0);
+                "before": claim.expected, "pause_ms": claim.pause.0,
+                "former": former.as_ref().map(|(node, _)| node),
+                "lease": former.as_ref().map(|(_, state)| format!("{state:?}")));
             edge.holders.borrow_mut().on_claimed(claim);
             Ok(true)
         }
@@ -473,6 +523,7 @@
         })
         .collect();
     if matches!(commit(edge, &changes, &[]).await?, Outcome::Done(_)) {
+        edge.holders.borrow_mut().on_removed(&due);
         decision!("holder_rows_removed", "count": due.len());
     }
     Ok(())
@@ -504,11 +555,10 @@
     read_era: &Cell<Option<u64>>,
 ) -> Result<bool> {
     let now = BootClock.now();
-    let lapsed = !edge.holders.borrow().has_lease(now);
     // A restored store may have lost this node's row, and the claims of all.
     let restored = read_era.get() != edge.store_era.get();
     if now.since(renewed.get()) >= RENEW_INTERVAL || renewed.get() == Ms(0) || restored {
-        if !renew_lease(edge).await? {
+        if !write_lease(edge, false).await? {
             return Ok(false);
         }
         renewed.set(now);
@@ -516,7 +566,8 @@
     let engines = engine_endpoints(edge);
     let unlisted_peers = edge.has_unlisted_peers(now);
     let unheld = !without_holder(edge, engines.clone()).is_empty();
-    let read_due = engines.is_empty() || lapsed || restored || unlisted_peers || unheld;
+    let unread = !edge.holders.borrow().holders_read();
+    let read_due = engines.is_empty() || unread || restored || unlisted_peers || unheld;
     if !read_due && skipped_reads.get() < MAX_ROUNDS_UNREAD {
         skipped_reads.set(skipped_reads.get() + 1);
         return Ok(true);
@@ -556,7 +607,7 @@
     let begun = BootClock.now();
     // The node's row is written first, so that nodes that start together read each other's.
     while BootClock.now().since(begun) < MAX_START_WAIT {
-        match renew_lease(&edge).await {
+        match write_lease(&edge, false).await {
             Ok(true) => {
                 renewed.set(BootClock.now());
                 break;
@@ -587,13 +638,13 @@
     }
 }
 
-/// Gives up the lease and removes the node's row, so that others take over its endpoints
+/// Gives up the lease and says so in the node's row, so that others take over its endpoints
 /// without waiting for the lease to lapse.
 pub(crate) async fn release_lease(edge: &Edge) {
     edge.holders.borrow_mut().release();
-    let key = edge.deployment.node.as_str();
-    let change = Change { table: NODES_TABLE, key, expected: None, value: None };
-    if let Err(e) = commit(edge, &[change], &[]).await {
-        log::warn!("removing the node's row failed; its lease lapses by itself: {e}");
+    match write_lease(edge, true).await {
+        Ok(true) => decision!("lease_released", "start": edge.start),
+        Ok(false) => log::warn!("the store did not take the lease's release; it lapses by itself"),
+        Err(e) => log::warn!("releasing the lease failed; it lapses by itself: {e}"),
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod node;
 pub mod object_store;
+pub mod orders;
 pub mod platform;
 pub mod proxy;
 pub mod report;
--- a/standin/src/row_store.rs
+++ b/standin/src/row_store.rs
@@ -55,6 +55,8 @@
     silent_below: u64,
     /// Number of reads whose answers are still to be lost.
     lost_reads: u64,
+    /// Table whose writes are performed late and never answered, and by how much.
+    late_writes: Option<(String, Duration)>,
 }
 
 /// A running store.
@@ -82,6 +84,7 @@
             connections: 0,
             silent_below: 0,
             lost_reads: 0,
+            late_writes: None,
         }
     }
 }
@@ -134,7 +137,9 @@
             self.rows.get(&at).map_or(0, |(_, ver)| *ver) == e["Ver"].as_u64().unwrap_or(0)
         });
         if !matches {
-            return (412, json!({"Rows": [], "Ver": self.version, "NowMs": 1}));
+            let row = |e: &Value| self.row(&text(e, "Table"), &text(e, "Key"));
+            let rows: Vec<Value> = list("Expected").iter().map(row).collect();
+            return (412, json!({"Rows": rows, "Ver": self.version, "NowMs": 1}));
         }
         self.version += 1;
         for p in list("Put") {
@@ -238,6 +243,12 @@
         lock(&self.state).lost_reads = count;
     }
 
+    /// From now on, performs writes to a table late, if their conditions still hold, and never
+    /// answers them; `None` ends this.
+    pub fn set_late_writes(&self, late: Option<(&str, Duration)>) {
+        lock(&self.state).late_writes = late.map(|(table, by)| (table.to_owned(), by));
+    }
+
     /// Keys of the rows of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = lock(&self.state);
@@ -250,6 +261,14 @@
     }
 }
 
+/// By how much a call is performed late; `None` if it is not.
+fn lateness(state: &State, request: &Request) -> Option<Duration> {
+    let (table, by) = state.late_writes.as_ref()?;
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let changes = ["Put", "Remove"].iter().filter_map(|name| body[name].as_array()).flatten();
+    changes.into_iter().any(|row| row["Table"] == table.as_str()).then_some(*by)
+}
+
 /// Answers the calls of one connection.
 async fn handle_connection(
     state: Arc<Mutex<State>>,
@@ -262,6 +281,16 @@
         state.connections - 1
     };
     while let Some(request) = connection.read_request().await? {
+        let late = lateness(&lock(&state), &request);
+        if let Some(by) = late {
+            let (state, changed) = (state.clone(), changed.clone());
+            tokio::spawn(async move {
+                sleep(by).await;
+                run_call(&state, &changed, &request).await;
+            });
+            sleep(Duration::from_secs(600)).await;
+            continue;
+        }
         let fault = {
             let mut state = lock(&state);
             state.calls += 1;
--- a/tests/edge_restored.rs
+++ b/tests/edge_restored.rs
@@ -4,8 +4,8 @@
 
 use serde_json::json;
 use standin::caller::{CallerRequest, KEY, wait_until};
-use standin::endpoint_instance::Instance;
 use standin::node::Node;
+use standin::orders::{check_orders, load_adapters, wait_for_reports};
 use standin::row_store::{Copy, RowStoreFault};
 use standin::test_setup::{TestSetup, document, document_with_late_route};
 use tokio::time::sleep;
@@ -36,10 +36,6 @@
     world.rows.set_fault(RowStoreFault::None);
 }
 
-async fn wait_for_reports(engine: &Instance) {
-    wait_until("the engine has a holder", || async { !engine.reports().is_empty() }).await;
-}
-
 // The route's row has a version that the nodes had seen before the store was restored.
 #[tokio::test]
 async fn route_written_after_a_restore_is_in_force() {
@@ -60,31 +56,6 @@
     assert_eq!(answer.status, 200, "{answer:?}");
 }
 
-async fn load_adapters(nodes: &[Node], names: std::ops::Range<usize>) -> usize {
-    let mut served = 0;
-    for n in names {
-        let attempt = format!("m{n}");
-        let model = format!("base/a{}", n % 9);
-        let ask = CallerRequest::new("POST /ask/1", &attempt).with_header("X-Model", &model);
-        served += usize::from(ask.send(&nodes[n % nodes.len()]).await.status == 200);
-        sleep(Duration::from_millis(100)).await;
-    }
-    served
-}
-
-/// Checks that fences never fall and that holders change only with a pause.
-fn check_orders(engine: &Instance) {
-    let orders = engine.timed_orders();
-    let fences: Vec<_> = orders.iter().map(|(_, o)| o["FencingToken"].as_u64()).collect();
-    assert!(fences.is_sorted(), "{fences:?}");
-    for pair in orders.windows(2) {
-        let [(last, a), (next, b)] = pair else { continue };
-        let pause = next.duration_since(*last);
-        let (a, b) = (&a["Holder"], &b["Holder"]);
-        assert!(a == b || pause >= HANDOVER, "{a} to {b} after {pause:?}");
-    }
-}
-
 // The rows by which the nodes hold the engine were written after the copy was taken.
 #[tokio::test]
 async fn orders_after_a_restore_carry_no_lower_fence_and_have_one_holder() {
@@ -99,7 +70,7 @@
     load_adapters(&nodes, 0..6).await;
     restore(&world, copy, || ()).await;
     load_adapters(&nodes, 6..100).await;
-    check_orders(&world.assist);
+    check_orders(&world.assist, HANDOVER);
     let served = load_adapters(&nodes, 100..110).await;
     assert_eq!(served, 10, "adapters are loaded after the restore");
 }
--- a/tests/endpoint_holders.rs
+++ b/tests/endpoint_holders.rs
@@ -5,8 +5,9 @@
 
 use sycamorefork::endpoint_holders::{
     CLOCK_MARGIN, EndpointHolders, FIRST_CLAIM_DELAY, HolderClaim, HolderRecord, LEASE_TTL,
-    NodeRecord, UNLISTED_FOR,
+    LeaseState, UNLISTED_FOR,
 };
+use sycamorefork::node_row::{NodeRecord, RowLoss};
 use sycamorefork::row_version;
 use sycamorefork::time::Ms;
 
@@ -14,7 +15,11 @@
 
 fn node(name: &str, version: u64) -> NodeRecord {
     let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
-    NodeRecord { name: Rc::from(name), address, version, seen: Ms(0) }
+    NodeRecord { name: Rc::from(name), address, start: 1, released: false, version, seen: Ms(0) }
+}
+
+fn released(name: &str, version: u64) -> NodeRecord {
+    NodeRecord { released: true, ..node(name, version) }
 }
 
 fn holding(node: &str, start: u64, fence: u64) -> (Rc<str>, HolderRecord) {
@@ -126,14 +131,102 @@
     assert_eq!(a.due_claims(FIRST_CLAIM_DELAY, &[Rc::from("i-1")]), vec![claim(0, Ms(0))]);
 }
 
-// A node that is missing from the table has released its endpoints.
+// The row of a node that has released its lease says so.
 #[test]
 fn released_endpoints_are_claimed_with_a_pause() {
     let mut b = EndpointHolders::new("b", 2, HANDOVER_PAUSE, Ms(0));
     b.on_renewed(Ms(1_600), Ms(1_600));
-    b.on_nodes(Ms(1_600), vec![node("b", 21)]);
+    b.on_nodes(Ms(1_600), vec![released("a", 20), node("b", 21)]);
     b.on_holders(Ms(1_600), vec![holding("a", 1, 24)]);
-    assert_eq!(b.due_claims(Ms(1_600), &[Rc::from("i-1")]), vec![takeover(24, 0)]);
+    assert_eq!(b.lease_state(Ms(1_600), "a"), LeaseState::Released);
+    assert_eq!(b.due_claims(Ms(1_600), &[Rc::from("i-1")]), vec![takeover(24, 20)]);
+}
+
+// A missing row was taken for a release, and its node still gave orders under its lease.
+#[test]
+fn endpoints_of_a_node_without_a_row_are_claimed_after_a_lease_has_run_out() {
+    let mut b = EndpointHolders::new("b", 2, HANDOVER_PAUSE, Ms(0));
+    let gone = Ms(2_000);
+    let lapsed = gone + LEASE_TTL + CLOCK_MARGIN;
+    for at in [Ms(1_600), gone, lapsed - Ms(1), lapsed] {
+        b.on_renewed(at, at);
+        let mut rows = vec![node("b", 21 + at.0)];
+        rows.extend((at < gone).then(|| node("a", 20)));
+        b.on_nodes(at, rows);
+        b.on_holders(at, vec![holding("a", 1, 24)]);
+        let expected = if at < lapsed { Vec::new() } else { vec![takeover(24, 0)] };
+        assert_eq!(b.due_claims(at, &[Rc::from("i-1")]), expected, "{at}");
+    }
+    // The node is back: a new row is a new lease.
+    b.on_nodes(lapsed, vec![node("a", 300), node("b", 21)]);
+    b.on_holders(lapsed, vec![holding("a", 1, 24)]);
+    assert_eq!(b.due_claims(lapsed, &[Rc::from("i-1")]), Vec::new());
+}
+
+// A holder did not notice that its row had been removed or overwritten, and went on.
+#[test]
+fn node_that_lost_its_row_gives_no_orders_before_the_holders_are_read() {
+    let overwritten = NodeRecord { start: 7, ..node("a", 40) };
+    let lost = [(vec![], RowLoss::Removed), (vec![overwritten], RowLoss::Overwritten(7))];
+    for (rows, loss) in lost {
+        let mut a = holder_of_i1();
+        a.on_row_written(20);
+        assert_eq!(a.on_nodes(Ms(2_100), rows), Some(loss));
+        assert_eq!(a.fence(Ms(2_100), "i-1"), None);
+        a.on_row_written(50);
+        a.on_renewed(Ms(2_200), Ms(2_200));
+        assert!(!a.holders_read());
+        assert_eq!(a.fence(Ms(2_300), "i-1"), None);
+        a.on_holders(Ms(2_300), vec![holding("a", 1, 24)]);
+        assert_eq!(a.fence(Ms(2_300), "i-1"), None);
+        assert_eq!(a.fence(Ms(2_300) + HANDOVER_PAUSE, "i-1"), Some(24));
+    }
+}
+
+// A write whose answer was lost, and the newer version that the store states, are no loss.
+#[test]
+fn own_row_of_another_version_is_no_loss() {
+    let mut a = holder_of_i1();
+    a.on_row_written(20);
+    assert_eq!(a.on_nodes(Ms(2_100), vec![node("a", 31)]), None);
+    assert_eq!(a.own_row().version(), Some(31));
+    assert_eq!(a.fence(Ms(2_100), "i-1"), Some(24));
+}
+
+// The first write of a process goes over the row of the former one, which may still change.
+#[test]
+fn row_of_the_former_process_is_no_loss() {
+    let mut a = EndpointHolders::new("a", 5, HANDOVER_PAUSE, Ms(0));
+    assert_eq!(a.own_row().version(), None);
+    for row in [node("a", 20), released("a", 21)] {
+        let version = row.version;
+        assert_eq!(a.on_nodes(Ms(100), vec![row]), None);
+        assert_eq!(a.own_row().version(), Some(version));
+        assert!(!a.own_row().is_written());
+    }
+    assert_eq!(a.on_nodes(Ms(100), vec![]), None);
+    assert_eq!(a.own_row().version(), Some(0));
+}
+
+// A restored store lost the row, and the holder goes on under its lease of the former era.
+#[test]
+fn row_lost_in_a_restore_does_not_end_the_lease() {
+    let mut a = holder_of_i1();
+    a.on_row_written(20);
+    a.on_restored(Ms(5_000), 2);
+    assert_eq!(a.on_nodes(Ms(5_010), vec![]), None);
+    assert_eq!(a.own_row().version(), Some(0));
+    assert_eq!(a.fence(Ms(5_020), "i-1"), Some(24));
+    assert_eq!(a.confirmed_claims().count(), 0);
+}
+
+// The renewal of a lease depends on the rows by which the node holds endpoints.
+#[test]
+fn renewal_depends_on_the_claims() {
+    let mut a = holder_of_i1();
+    assert_eq!(a.confirmed_claims().collect::<Vec<_>>(), vec![(&Rc::from("i-1"), 24)]);
+    a.on_removed(&[(Rc::from("i-1"), 24)]);
+    assert_eq!(a.confirmed_claims().count(), 0);
 }
 
 // Nodes behind a network partition count for the team limits long after their leases have
@@ -194,10 +287,10 @@
     b.on_holders(lapsed, vec![holding("a", 1, 24)]);
     let lease = b.due_claims(lapsed, &[Rc::from("i-1")]).remove(0).former_lease;
     assert_eq!(lease, Some((Rc::from("a"), 20)));
-    // A node without a row has released its lease; a new row is a new lease.
-    b.on_nodes(lapsed, vec![node("b", 22)]);
+    // A released lease must still be the one that was released.
+    b.on_nodes(lapsed, vec![released("a", 25), node("b", 22)]);
     let lease = b.due_claims(lapsed, &[Rc::from("i-1")]).remove(0).former_lease;
-    assert_eq!(lease, Some((Rc::from("a"), 0)));
+    assert_eq!(lease, Some((Rc::from("a"), 25)));
 }
 
 // Each start of an endpoint leaves a row. Rows of endpoints that are gone for a while are removed,
@@ -279,7 +372,7 @@
         b.on_renewed(Ms(20_000), Ms(20_000));
         b.on_restored(Ms(20_000), 2);
         let end = Ms(20_000) + LEASE_TTL + CLOCK_MARGIN;
-        for at in [Ms(20_010), end - Ms(1), end] {
+        for at in [Ms(20_000), Ms(20_010), end - Ms(1), end] {
             b.on_renewed(at, at);
             b.on_nodes(at, vec![node("b", restored(20 + at.0))]);
             b.on_holders(at, holders.clone());
