Claim an engine without a row only if no node may hold it

Only an engine that registered under this node's eyes counts as new. Any other one without a row is claimed with the pause, when all nodes with a lease are heard and none of them holds it, or after a lease has run out.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -234,6 +234,15 @@
         NodeCounts { nodes, heard }
     }
 
+    /// Whether all other nodes with a lease were heard recently.
+    pub(crate) fn hears_all_peers(&self, now: Ms) -> bool {
+        let holders = self.holders.borrow();
+        let peers = self.peers.borrow();
+        let recent = |p: &Peer| now.since(p.last_beat) < crate::shared_limits::SILENT_AFTER;
+        let mut others = holders.live_nodes(now).filter(|n| *n.name != *self.deployment.node);
+        others.all(|node| peers.get(&node.name).is_some_and(recent))
+    }
+
     /// Whether a peer was heard recently that the last read of the node list did not name.
     pub(crate) fn has_unlisted_peers(&self, now: Ms) -> bool {
         let holders = self.holders.borrow();
--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -125,6 +125,10 @@
     holders_read: bool,
     /// Endpoints that have rows and are not listed, with the instant from which on.
     unlisted: Map<Rc<str>, Ms>,
+    /// Endpoints of which no row has been seen since they registered.
+    unclaimed: Set<Rc<str>>,
+    /// Engines that have no row, with the instant at which that was first seen.
+    without_row: Map<Rc<str>, Ms>,
     /// Pauses of claims that were written but whose rows have not been read back.
     pauses: Map<Rc<str>, Ms>,
     /// Whether the rows of the nodes have been read.
@@ -157,6 +161,8 @@
             held: Map::default(),
             holders_read: false,
             unlisted: Map::default(),
+            unclaimed: Set::default(),
+            without_row: Map::default(),
             pauses: Map::default(),
             nodes_read: false,
             era: 0,
@@ -273,6 +279,8 @@
         self.holders_read = true;
         self.holders = rows.into_iter().collect();
         self.note_missing(now);
+        let holders = &self.holders;
+        self.unclaimed.retain(|id| !holders.contains_key(id));
         let (name, start) = (self.name.clone(), self.start);
         let holders = &self.holders;
         let own = |h: &HolderRecord| h.node == name && h.start == start;
@@ -303,6 +311,34 @@
         }
     }
 
+    /// Records that an endpoint has registered. Nobody has held it unless a row says so.
+    pub fn on_registered(&mut self, id: &Rc<str>) {
+        if !self.holders.contains_key(id) {
+            self.unclaimed.insert(id.clone());
+        }
+    }
+
+    /// Takes note of the engines that have no row.
+    pub fn note_engines(&mut self, now: Ms, engines: &[Rc<str>]) {
+        let since = std::mem::take(&mut self.without_row);
+        let bare = engines.iter().filter(|id| !self.holders.contains_key(*id));
+        self.without_row =
+            bare.map(|id| (id.clone(), since.get(id).copied().unwrap_or(now))).collect();
+        self.unclaimed.retain(|id| self.without_row.contains_key(id));
+    }
+
+    /// Pause with which an endpoint without a row may be claimed; `None` if its row may be lost
+    /// and a holder may go on. `is_free` tells that all nodes are heard and none holds it.
+    fn pause_without_row(&self, now: Ms, id: &str, is_free: impl Fn(&str) -> bool) -> Option<Ms> {
+        if self.unclaimed.contains(id) {
+            return Some(Ms(0));
+        }
+        // No lease has been renewed since by a node that holds it.
+        let lapsed = |since: &Ms| now.since(*since) >= LEASE_TTL + CLOCK_MARGIN;
+        let may_claim = is_free(id) || self.without_row.get(id).is_some_and(lapsed);
+        may_claim.then_some(self.handover_pause)
+    }
+
     /// Takes note of the nodes that hold endpoints and have no row.
     fn note_missing(&mut self, now: Ms) {
         let mut since = std::mem::take(&mut self.missing);
@@ -427,7 +463,13 @@
     }
 
     /// Claims that this node should write, given the instance IDs of all engine endpoints.
-    pub fn due_claims(&self, now: Ms, engines: &[Rc<str>]) -> Vec<HolderClaim> {
+    /// `is_free` tells that all nodes are heard and none holds an endpoint.
+    pub fn due_claims(
+        &self,
+        now: Ms,
+        engines: &[Rc<str>],
+        is_free: impl Fn(&str) -> bool,
+    ) -> Vec<HolderClaim> {
         if !self.has_lease(now) || !self.nodes_read {
             return Vec::new();
         }
@@ -480,8 +522,9 @@
                 None => {
                     if self.preferred_node(&names, &counts, per_node, id) == Some(&*self.name)
                         && own < per_node
+                        && let Some(pause) = self.pause_without_row(now, id, &is_free)
                     {
-                        claims.push(claim(0, Ms(0), None));
+                        claims.push(claim(0, pause, None));
                         own += 1;
                     }
                 }
--- a/src/store_watcher.rs
+++ b/src/store_watcher.rs
@@ -355,6 +355,9 @@
         departures.record(BootClock.now(), &id, version);
     }
     let gone = departures.overrides(&id, version, entry.started_at);
+    if old.is_none() && edge.entries_read.get() {
+        edge.holders.borrow_mut().on_registered(&id);
+    }
     if old.is_none_or(|(_, start)| start != entry.started_at) {
         edge.endpoint_added.notify_one();
     }
@@ -583,7 +586,13 @@
         return Ok(true);
     }
     let now = BootClock.now();
-    let claims = edge.holders.borrow().due_claims(now, &engines);
+    edge.holders.borrow_mut().note_engines(now, &engines);
+    let all_heard = edge.hears_all_peers(now);
+    let is_free = |id: &str| {
+        let table = edge.table.borrow();
+        all_heard && table.get(id).is_some_and(|e| e.holder.is_none())
+    };
+    let claims = edge.holders.borrow().due_claims(now, &engines, is_free);
     let counts = edge.holders.borrow().claim_counts(now, &engines);
     if counts.unheld > 0 {
         decision!("claims_due", "count": claims.len(), "unheld": counts.unheld,
--- a/tests/edge_late_writes.rs
+++ b/tests/edge_late_writes.rs
@@ -38,8 +38,19 @@
         self.names.iter().position(|name| name == holder).expect("a node of the fleet")
     }
 
-    fn start_again(&mut self, n: usize, addresses: NodeAddresses, world: &TestSetup) {
-        self.nodes[n] = Node::start_at(&self.names[n], addresses, world.store_address(), None);
+    /// Stops a node and moves it to the front; returns its addresses.
+    async fn stop(&mut self, n: usize) -> NodeAddresses {
+        self.names.swap(0, n);
+        self.nodes.swap(0, n);
+        self.nodes[0].terminate();
+        self.nodes[0].wait_exit().await;
+        self.nodes[0].addresses
+    }
+
+    /// Starts the stopped node again.
+    async fn start_again(&mut self, addresses: NodeAddresses, world: &TestSetup) {
+        self.nodes[0] = Node::start_at(&self.names[0], addresses, world.store_address(), None);
+        self.nodes[0].until_ready().await;
     }
 }
 
@@ -59,19 +70,16 @@
     let mut engines = Vec::new();
     for round in 0..3 {
         load_adapters(&fleet.nodes, 0..9).await;
-        let stopped = fleet.holder(&world.assist);
-        let addresses = fleet.nodes[stopped].addresses;
         world.rows.set_late_writes(Some((NODES, LATE_BY)));
-        fleet.nodes[stopped].terminate();
-        fleet.nodes[stopped].wait_exit().await;
+        let stopped = fleet.stop(fleet.holder(&world.assist)).await;
         world.rows.set_late_writes(None);
-        fleet.start_again(stopped, addresses, &world);
+        fleet.start_again(stopped, &world).await;
         let mut listed = false;
         for n in 0..40 {
             if n == 24 {
                 engines.push(add_engine(&world, &format!("i-1{round}")).await);
             }
-            let present = world.rows.keys(NODES).contains(&fleet.names[stopped]);
+            let present = world.rows.keys(NODES).contains(&fleet.names[0]);
             assert!(present || !listed, "round {round}: the row of the restarted node is gone");
             listed = present;
             load_adapters(&fleet.nodes, n..n + 1).await;
--- a/tests/endpoint_holders.rs
+++ b/tests/endpoint_holders.rs
@@ -41,7 +41,8 @@
     let mut a = EndpointHolders::new("a", 1, HANDOVER_PAUSE, Ms(0));
     a.on_renewed(Ms(2_000), Ms(2_000));
     a.on_nodes(Ms(2_000), vec![node("a", 20), node("b", 21)]);
-    let found = a.due_claims(Ms(2_000), &[Rc::from("i-1")]);
+    a.on_registered(&Rc::from("i-1"));
+    let found = a.due_claims(Ms(2_000), &[Rc::from("i-1")], |_| true);
     // Whichever node rendezvous hashing prefers, "a" claims the endpoint here.
     assert!(found.iter().all(|c| *c == claim(0, Ms(0))));
     a.on_claimed(&claim(0, Ms(0)));
@@ -98,7 +99,7 @@
         b.on_renewed(at, at);
         b.on_nodes(at, vec![node("a", 20), node("b", 21 + at.0)]);
         b.on_holders(at, vec![holding("a", 1, 24)]);
-        let claims = b.due_claims(at, &[Rc::from("i-1")]);
+        let claims = b.due_claims(at, &[Rc::from("i-1")], |_| true);
         let expected = if at < lapsed { Vec::new() } else { vec![takeover(24, 20)] };
         assert_eq!(claims, expected, "{at}");
     }
@@ -116,7 +117,7 @@
     a.on_nodes(Ms(100), vec![node("a", 40), node("b", 21)]);
     a.on_holders(Ms(100), vec![holding("a", 1, 24)]);
     assert_eq!(a.fence(Ms(100), "i-1"), None);
-    let claims = a.due_claims(Ms(100), &[Rc::from("i-1")]);
+    let claims = a.due_claims(Ms(100), &[Rc::from("i-1")], |_| true);
     assert_eq!(claims, vec![claim(24, Ms(0))]);
 }
 
@@ -127,8 +128,11 @@
     a.on_renewed(Ms(100), Ms(100));
     a.on_nodes(Ms(100), vec![node("a", 40)]);
     a.on_holders(Ms(100), Vec::new());
-    assert_eq!(a.due_claims(FIRST_CLAIM_DELAY - Ms(1), &[Rc::from("i-1")]), Vec::new());
-    assert_eq!(a.due_claims(FIRST_CLAIM_DELAY, &[Rc::from("i-1")]), vec![claim(0, Ms(0))]);
+    assert_eq!(a.due_claims(FIRST_CLAIM_DELAY - Ms(1), &[Rc::from("i-1")], |_| true), Vec::new());
+    assert_eq!(
+        a.due_claims(FIRST_CLAIM_DELAY, &[Rc::from("i-1")], |_| true),
+        vec![claim(0, HANDOVER_PAUSE)]
+    );
 }
 
 // The row of a node that has released its lease says so.
@@ -139,7 +143,7 @@
     b.on_nodes(Ms(1_600), vec![released("a", 20), node("b", 21)]);
     b.on_holders(Ms(1_600), vec![holding("a", 1, 24)]);
     assert_eq!(b.lease_state(Ms(1_600), "a"), LeaseState::Released);
-    assert_eq!(b.due_claims(Ms(1_600), &[Rc::from("i-1")]), vec![takeover(24, 20)]);
+    assert_eq!(b.due_claims(Ms(1_600), &[Rc::from("i-1")], |_| true), vec![takeover(24, 20)]);
 }
 
 // A missing row was taken for a release, and its node still gave orders under its lease.
@@ -155,12 +159,12 @@
         b.on_nodes(at, rows);
         b.on_holders(at, vec![holding("a", 1, 24)]);
         let expected = if at < lapsed { Vec::new() } else { vec![takeover(24, 0)] };
-        assert_eq!(b.due_claims(at, &[Rc::from("i-1")]), expected, "{at}");
+        assert_eq!(b.due_claims(at, &[Rc::from("i-1")], |_| true), expected, "{at}");
     }
     // The node is back: a new row is a new lease.
     b.on_nodes(lapsed, vec![node("a", 300), node("b", 21)]);
     b.on_holders(lapsed, vec![holding("a", 1, 24)]);
-    assert_eq!(b.due_claims(lapsed, &[Rc::from("i-1")]), Vec::new());
+    assert_eq!(b.due_claims(lapsed, &[Rc::from("i-1")], |_| true), Vec::new());
 }
 
 // A holder did not notice that its row had been removed or overwritten, and went on.
@@ -229,6 +233,46 @@
     assert_eq!(a.confirmed_claims().count(), 0);
 }
 
+// The row of an endpoint was lost, and another node gave orders at once while its holder went on.
+#[test]
+fn endpoint_without_a_row_that_may_be_held_is_claimed_after_a_lease_has_run_out() {
+    let engines = [Rc::from("i-1")];
+    let mut b = EndpointHolders::new("b", 2, HANDOVER_PAUSE, Ms(0));
+    let lost = Ms(20_000);
+    let lapsed = lost + LEASE_TTL + CLOCK_MARGIN;
+    for at in [Ms(19_000), lost, lapsed - Ms(1), lapsed] {
+        b.on_renewed(at, at);
+        b.on_nodes(at, vec![node_at("b", at)]);
+        let rows = if at < lost { vec![holding("b", 1, 24)] } else { Vec::new() };
+        b.on_holders(at, rows);
+        b.note_engines(at, &engines);
+        if at < lost {
+            continue;
+        }
+        let free = b.due_claims(at, &engines, |_| true);
+        assert_eq!(free, vec![claim(0, HANDOVER_PAUSE)], "{at}: no node says that it holds it");
+        let expected = if at < lapsed { Vec::new() } else { free };
+        assert_eq!(b.due_claims(at, &engines, |_| false), expected, "{at}");
+    }
+}
+
+// An endpoint that has just registered has no holder, and nobody waits for one.
+#[test]
+fn new_endpoint_is_claimed_without_a_pause() {
+    let engines = [Rc::from("i-1")];
+    let mut b = EndpointHolders::new("b", 2, HANDOVER_PAUSE, Ms(0));
+    b.on_renewed(Ms(2_000), Ms(2_000));
+    b.on_nodes(Ms(2_000), vec![node("b", 21)]);
+    b.on_holders(Ms(2_000), Vec::new());
+    b.on_registered(&engines[0]);
+    b.note_engines(Ms(2_000), &engines);
+    assert_eq!(b.due_claims(Ms(2_000), &engines, |_| false), vec![claim(0, Ms(0))]);
+    b.on_holders(Ms(2_100), vec![holding("a", 1, 24)]);
+    b.on_holders(Ms(2_200), Vec::new());
+    b.note_engines(Ms(2_200), &engines);
+    assert_eq!(b.due_claims(Ms(2_200), &engines, |_| false), Vec::new());
+}
+
 // Nodes behind a network partition count for the team limits long after their leases have
 // lapsed, because they go on admitting requests.
 #[test]
@@ -257,8 +301,9 @@
 fn share_counts_only_endpoints_that_exist() {
     let mut a = holder_of_i1();
     let new = [Rc::from("i-2")];
+    a.on_registered(&new[0]);
     a.on_nodes(Ms(2_100), vec![node("a", 20)]);
-    let claims = a.due_claims(Ms(2_100), &new);
+    let claims = a.due_claims(Ms(2_100), &new, |_| true);
     let expected = HolderClaim { endpoint: Rc::from("i-2"), ..claim(0, Ms(0)) };
     assert_eq!(claims, vec![expected]);
 }
@@ -285,11 +330,11 @@
     b.on_renewed(lapsed, lapsed);
     b.on_nodes(lapsed, vec![node("a", 20), node("b", 22)]);
     b.on_holders(lapsed, vec![holding("a", 1, 24)]);
-    let lease = b.due_claims(lapsed, &[Rc::from("i-1")]).remove(0).former_lease;
+    let lease = b.due_claims(lapsed, &[Rc::from("i-1")], |_| true).remove(0).former_lease;
     assert_eq!(lease, Some((Rc::from("a"), 20)));
     // A released lease must still be the one that was released.
     b.on_nodes(lapsed, vec![released("a", 25), node("b", 22)]);
-    let lease = b.due_claims(lapsed, &[Rc::from("i-1")]).remove(0).former_lease;
+    let lease = b.due_claims(lapsed, &[Rc::from("i-1")], |_| true).remove(0).former_lease;
     assert_eq!(lease, Some((Rc::from("a"), 25)));
 }
 
@@ -340,7 +385,7 @@
     a.on_nodes(Ms(5_020), vec![node("a", restored(9)), node("b", restored(8))]);
     a.on_holders(Ms(5_030), Vec::new());
     assert_eq!(a.fence(Ms(5_030), "i-1"), Some(24));
-    assert_eq!(a.due_claims(Ms(5_030), &[Rc::from("i-1")]), vec![claim(0, Ms(0))]);
+    assert_eq!(a.due_claims(Ms(5_030), &[Rc::from("i-1")], |_| true), vec![claim(0, Ms(0))]);
     let mut lost = a.clone();
     a.on_claimed(&claim(0, Ms(0)));
     a.on_holders(Ms(5_040), vec![holding("a", 1, restored(12))]);
@@ -376,7 +421,7 @@
             b.on_renewed(at, at);
             b.on_nodes(at, vec![node("b", restored(20 + at.0))]);
             b.on_holders(at, holders.clone());
-            let claims = b.due_claims(at, &[Rc::from("i-1")]);
+            let claims = b.due_claims(at, &[Rc::from("i-1")], |_| true);
             assert_eq!(claims.len(), usize::from(at == end), "{at}: {claims:?}");
         }
     }
@@ -395,7 +440,7 @@
         a.on_renewed(at, at);
         a.on_nodes(at, vec![node("a", restored(at.0))]);
         a.on_holders(at, vec![holding("a", 1, restored(24))]);
-        assert_eq!(a.due_claims(at, &[Rc::from("i-1")]), Vec::new());
+        assert_eq!(a.due_claims(at, &[Rc::from("i-1")], |_| true), Vec::new());
         assert_eq!(a.fence(at + HANDOVER_PAUSE, "i-1"), None);
     }
     a.on_renewed(end, end);
