Remove quarantine rows only as read, and write each batch of streams once

Two more writes without a condition, found by listing all writes of the role edge: the late removal of an outdated quarantine row removed the row of a new quarantine, so requests that crash engines were served again; a late batch of streams could replace the larger batch that followed it under the same key, and the origins of the further streams were lost.

The removal names the version that was read. Each attempt to write a batch has a key of its own, used again after the lifetime of a stream.

--- a/src/quarantine_store.rs
+++ b/src/quarantine_store.rs
@@ -57,9 +57,10 @@
     commit(edge, &[change], &[]).await.map(drop)
 }
 
-async fn remove_row(edge: &Edge, feature: u64) -> Result<()> {
-    let key = key_of(feature);
-    let change = Change { table: TABLE, key: &key, expected: None, value: None };
+/// Removes a row as it was read. Another node may have quarantined the feature anew since.
+async fn remove_row(edge: &Edge, row: &Row) -> Result<()> {
+    let expected = Some(row.version);
+    let change = Change { table: TABLE, key: &row.key, expected, value: None };
     commit(edge, &[change], &[]).await.map(drop)
 }
 
@@ -99,7 +100,7 @@
         let was_stored = stored.borrow().features.contains(&feature);
         if was_stored || (restored && watch.is_lifted(now, feature)) {
             // The entry was lifted or has expired here since the row was read.
-            outdated.push(feature);
+            outdated.push(row);
             continue;
         }
         let expiry = now + DEFAULT_EXPIRY;
@@ -111,8 +112,8 @@
     for feature in before.features.iter().filter(|f| !restored && !is_stored(f)) {
         watch.lift(now, *feature, "its row was removed");
     }
-    for feature in outdated {
-        remove_row(edge, feature).await?;
+    for row in outdated {
+        remove_row(edge, row).await?;
     }
     for entry in watch.entries(now).iter().filter(|e| !is_stored(&e.fingerprint)) {
         write_row(edge, entry).await?;
--- a/src/stream_store.rs
+++ b/src/stream_store.rs
@@ -230,7 +230,7 @@
 /// service serve.
 pub(crate) async fn write_streams(edge: Rc<Edge>) {
     let dependency = Dependency::new(TABLE);
-    let mut batches: u64 = 0;
+    let (mut batches, mut any_written) = (0_u64, false);
     loop {
         let now = BootClock.now();
         let nodes = edge.node_counts(now).nodes as u64;
@@ -244,14 +244,15 @@
         let rows = edge.streams.borrow().lifetime().0.div_ceil(interval.0) + 1;
         let (node, start) = (&edge.deployment.node, edge.start);
         let key = format!("{node}/{start}/{:04}", batches % rows);
+        // A write without an answer may take effect after the next one, which holds more streams.
+        batches += 1;
         let value = encode_batch(&streams);
         let change = Change { table: TABLE, key: &key, expected: None, value: Some(&value) };
         match commit_part(&edge, TABLE, &[change], &[]).await {
             Ok(Outcome::Done(_)) => {
                 dependency.on_success();
-                batches += 1;
                 edge.streams.borrow_mut().on_written(streams.iter().map(|(id, _)| *id));
-                if batches == 1 {
+                if !std::mem::replace(&mut any_written, true) {
                     decision!("streams_written", "count": streams.len(), "key": key);
                 }
             }
--- a/tests/edge_restored.rs
+++ b/tests/edge_restored.rs
@@ -168,3 +168,22 @@
     assert!(!is_quarantined(&node, "q3").await);
     assert_eq!(world.rows.keys("quarantine"), [""; 0]);
 }
+
+// The removal of an outdated row was performed late and removed the row of a new quarantine.
+#[tokio::test]
+async fn late_removal_leaves_the_row_of_a_new_quarantine() {
+    let world = TestSetup::start().await;
+    world.rows.put("quarantine", PART.1, &json!({"reason": "3 crashes"}));
+    let node = Node::start("restored-anew", world.store_address()).await;
+    wait_until("the row is read", || is_quarantined(&node, "q1")).await;
+    let copy = world.rows.copy();
+    world.rows.remove("quarantine", PART.1);
+    wait_until("the quarantine is lifted", || async { !is_quarantined(&node, "q2").await }).await;
+    let late_by = Duration::from_secs(3);
+    world.rows.set_late_writes(Some(("quarantine", late_by)));
+    restore(&world, copy, || ()).await;
+    sleep(late_by / 2).await;
+    world.rows.put("quarantine", PART.1, &json!({"reason": "3 further crashes"}));
+    sleep(late_by).await;
+    assert_eq!(world.rows.keys("quarantine"), [PART.1]);
+}
