Cut answers whose bytes beside the body have no end

read_limit counts what is read on each connection of the HTTP client, which both roles use for endpoints, stores and peers, and fails it after 128 KiB that were no part of a body. Connections read 64 KiB ahead at most. The pages of one read of a table or list are bounded together.

--- a/src/dynamo.rs
+++ b/src/dynamo.rs
@@ -30,7 +30,7 @@
 use crate::http_client::{HttpClient, SendError, build_request};
 use crate::ids::stable_hash;
 use crate::memory::check_txn;
-use crate::storage::{Commit, Cond, Op, Row, Table, Txn, Write};
+use crate::storage::{Commit, Cond, Op, PageSizes, Row, Table, Txn, Write};
 
 /// Key prefixes whose rows are distributed over several partitions, with the number of
 /// partitions.
@@ -95,6 +95,7 @@
     async fn query(&self, partition: &str, prefix: &str) -> Result<Vec<Row>> {
         let mut rows = Vec::new();
         let mut start: Option<Value> = None;
+        let mut sizes = PageSizes::default();
         loop {
             let mut body = json!({
                 "TableName": self.table,
@@ -106,7 +107,9 @@
             if let Some(start) = start.take() {
                 body["ExclusiveStartKey"] = start;
             }
-            let page: QueryPage = parse(&self.send_expect_success("Query", &body).await?)?;
+            let answer = self.send_expect_success("Query", &body).await?;
+            sizes.add(SERVICE, answer.len())?;
+            let page: QueryPage = parse(&answer)?;
             for item in page.items {
                 rows.push(item.into_row()?);
             }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::ids::Map;
+use crate::read_limit::{BoundedStream, MAX_OVERHEAD, ReadMeter};
 
 /// Time limit for a pooled connection to become ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
@@ -33,6 +34,9 @@
 /// Most bytes read of the rest of a finished answer.
 const MAX_DRAINED_BYTES: usize = 64 << 10;
 
+/// Most bytes read ahead on a connection, which also bounds the head of a response.
+const MAX_READ_AHEAD: usize = MAX_OVERHEAD / 2;
+
 /// Size of a response that is read even if [`HttpSettings::max_buffered`] is reached.
 pub const SMALL_BODY: usize = 64 << 10;
 
@@ -93,6 +97,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    meter: ReadMeter,
 }
 
 impl Drop for Connection {
@@ -263,6 +268,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<IncomingResponse, (SendError, Option<Request<Full<Bytes>>>)> {
+        conn.meter.restart();
         match timeout_at(deadline, conn.sender.try_send_request(request)).await {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
@@ -384,11 +390,13 @@
             log::debug!("{addr}: setting the timeout for unacknowledged bytes failed: {e}");
         }
     }
-    let (sender, conn) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| format!("{addr}: {e}"))?;
+    let meter = ReadMeter::default();
+    let stream = TokioIo::new(BoundedStream::new(stream, meter.clone()));
+    let handshake = http1::Builder::new().max_buf_size(MAX_READ_AHEAD).handshake(stream);
+    let (sender, conn) = handshake.await.map_err(|e| format!("{addr}: {e}"))?;
     // A connection error is also returned to the request that waits for a response.
     let task = tokio::spawn(async move { drop(conn.await) });
-    Ok(Connection { sender, task })
+    Ok(Connection { sender, task, meter })
 }
 
 /// A response with its complete body.
@@ -436,7 +444,12 @@
             return match std::pin::Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Pending => Poll::Pending,
                 Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => Poll::Ready(Some(Ok(data))),
+                    Ok(data) => {
+                        if let Some(conn) = &self.conn {
+                            conn.meter.on_body(data.len());
+                        }
+                        Poll::Ready(Some(Ok(data)))
+                    }
                     Err(_) => continue,
                 },
                 Poll::Ready(Some(Err(e))) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -98,6 +98,7 @@
 pub mod queue;
 pub mod quota;
 mod quota_types;
+mod read_limit;
 pub mod read_schedule;
 pub mod refusal_record;
 pub mod refusal_store;
--- a/src/s3.rs
+++ b/src/s3.rs
@@ -14,7 +14,7 @@
 
 use crate::error::{Error, Result};
 use crate::http_client::{FullResponse, HttpClient, build_request, percent_encode};
-use crate::storage::Objects;
+use crate::storage::{Objects, PageSizes};
 
 /// Name of this service in errors.
 const SERVICE: &str = "objects";
@@ -128,11 +128,13 @@
         );
         let mut names = Vec::new();
         let mut path = first.clone();
+        let mut sizes = PageSizes::default();
         loop {
             let response = self.send(Method::GET, &path, Bytes::new(), false).await?;
             if !response.status.is_success() {
                 return Err(response_error(&response));
             }
+            sizes.add(SERVICE, response.body.len())?;
             let text = std::str::from_utf8(&response.body).map_err(|e| Error::io(SERVICE, e))?;
             let listing: Listing =
                 quick_xml::de::from_str(text).map_err(|e| Error::io(SERVICE, e))?;
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -19,9 +19,30 @@
 /// Time limit of a read that is repeated.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes that the pages of one read may have together.
+const MAX_READ_BYTES: usize = 64 << 20;
+
 /// Maximum number of writes in one transaction.
 pub const MAX_TXN_WRITES: usize = 100;
 
+/// Sizes of the pages of one read, whose sum is bounded.
+#[derive(Debug, Default)]
+pub(crate) struct PageSizes(usize);
+
+impl PageSizes {
+    /// Adds a page of `source`.
+    ///
+    /// # Errors
+    /// The pages exceed the bound.
+    pub(crate) fn add(&mut self, source: &str, bytes: usize) -> Result<()> {
+        self.0 += bytes;
+        match self.0 <= MAX_READ_BYTES {
+            true => Ok(()),
+            false => Err(Error::io(source, format!("pages exceed {MAX_READ_BYTES} bytes"))),
+        }
+    }
+}
+
 /// Row of the table service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
--- a/src/store_calls.rs
+++ b/src/store_calls.rs
@@ -20,6 +20,7 @@
 use crate::platform::store::{self, Change, Condition, Outcome, Row, Rows};
 use crate::read_schedule::ReadSchedule;
 use crate::row_version;
+use crate::storage::PageSizes;
 use crate::time::{BootClock, Clock, Ms};
 
 /// Time limit of a call that is not part of a [`ReadSchedule`].
@@ -164,9 +165,11 @@
     let mode = CallMode { wait: Ms(0), ..mode };
     let mut all: Option<Rows> = None;
     let mut from = String::new();
+    let mut sizes = PageSizes::default();
     loop {
         let request = store::rows_request(table, part, &from)?;
         let answer = call_store(edge, request, mode).await?;
+        sizes.add(table, answer.body.len())?;
         let era = answer.era;
         let page = match store::decode_rows(era, answer.status, &answer.body)? {
             Outcome::Done(page) => page,
--- a/standin/src/endpoint_instance.rs
+++ b/standin/src/endpoint_instance.rs
@@ -17,6 +17,9 @@
 /// Bytes in a piece of a head without end.
 const ENDLESS_PIECE: usize = 4_096;
 
+/// An informational answer.
+const INFORMATIONAL: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n";
+
 /// Fault injected into an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EndpointFault {
@@ -43,6 +46,12 @@
     LateCopy,
     /// Runs the request and sends an answer's head without end.
     EndlessHead,
+    /// Runs the request and sends informational answers without end, also to reports and orders.
+    EndlessInformational,
+    /// Runs the request and sends an answer with a chunk extension without end.
+    EndlessExtension,
+    /// Runs the request and sends trailers without end.
+    EndlessTrailers,
     /// Runs the request and sends an answer without length or end.
     EndlessBody,
     /// Runs the request and never answers.
@@ -316,6 +325,11 @@
         if lock(&state).fault == EndpointFault::LateCopy {
             connection.repeat_answer().await?;
         }
+        let is_control = ["/report", "/order"].contains(&request.path.as_str());
+        if is_control && lock(&state).fault == EndpointFault::EndlessInformational {
+            write_endlessly(&state, &mut connection, INFORMATIONAL).await?;
+            return Ok(());
+        }
         match request.path.as_str() {
             "/report" => {
                 let body = load_report(&state);
@@ -450,6 +464,19 @@
             connection.write(format!("HTTP/1.1 200 OK\r\n{head}X-Pad: ").as_bytes()).await?;
             return write_endlessly(state, connection, &[b'a'; ENDLESS_PIECE]).await;
         }
+        EndpointFault::EndlessInformational => {
+            return write_endlessly(state, connection, INFORMATIONAL).await;
+        }
+        EndpointFault::EndlessExtension => {
+            let start = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n1;");
+            connection.write(start.as_bytes()).await?;
+            return write_endlessly(state, connection, &[b'a'; ENDLESS_PIECE]).await;
+        }
+        EndpointFault::EndlessTrailers => {
+            let start = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n0\r\n");
+            connection.write(start.as_bytes()).await?;
+            return write_endlessly(state, connection, b"X-Pad: a\r\n").await;
+        }
         EndpointFault::EndlessBody => {
             connection.write(format!("HTTP/1.1 200 OK\r\n{head}\r\n").as_bytes()).await?;
             return write_endlessly(state, connection, "data: t\n\n".repeat(1_000).as_bytes())
--- a/tests/edge_endless.rs
+++ b/tests/edge_endless.rs
@@ -22,13 +22,24 @@
 /// Time after the deadline within which a request must have ended.
 const DEADLINE_SLACK: Duration = Duration::from_millis(500);
 
+/// Reads sent while an endpoint floods the node, and the pause between them.
+const READS: usize = 200;
+const READ_PAUSE: Duration = Duration::from_millis(20);
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn answers_without_end_stay_within_the_memory_limit() {
     let world = TestSetup::start().await;
     let node = Node::start("endless-body", world.store_address()).await;
     let front = node.addresses.frontend;
     let peak = AtomicU64::new(0);
-    for fault in [EndpointFault::EndlessBody, EndpointFault::EndlessHead] {
+    let faults = [
+        EndpointFault::EndlessBody,
+        EndpointFault::EndlessHead,
+        EndpointFault::EndlessInformational,
+        EndpointFault::EndlessExtension,
+        EndpointFault::EndlessTrailers,
+    ];
+    for fault in faults {
         for e in &world.ledger {
             e.set_fault(fault);
         }
@@ -62,6 +73,47 @@
     assert_eq!(answer.status, 200);
 }
 
+// Nothing but the requests' time limit ended such answers, and work went on to the endpoint while
+// others were idle.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn reads_are_served_elsewhere_while_an_endpoint_sends_informational_answers_without_end() {
+    let world = TestSetup::start().await;
+    let node = Node::start("endless-informational", world.store_address()).await;
+    let front = node.addresses.frontend;
+    world.ledger[0].set_fault(EndpointFault::EndlessInformational);
+    let begun = Instant::now();
+    let mut calls = Vec::new();
+    for n in 0..READS {
+        let request = CallerRequest::new("GET /look/1", &format!("i{n}")).bytes();
+        calls.push(tokio::spawn(async move { exchange(front, &request).await }));
+        sleep(READ_PAUSE).await;
+    }
+    let mut served = 0;
+    for call in calls {
+        served += usize::from(call.await.unwrap().is_some_and(|a| a.status == 200));
+    }
+    assert_eq!(served, READS);
+    assert!(begun.elapsed() < READ_PAUSE * READS as u32 * 2, "{:?}", begun.elapsed());
+    let sent = world.ledger[0].runs().len();
+    assert!(sent < READS / 4, "{sent} requests to the endpoint");
+}
+
+// Reports and orders were waited for, and read, until their time limits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn informational_answers_without_end_to_reports_and_orders_are_cut() {
+    let world = TestSetup::start().await;
+    let node = Node::start("endless-reports", world.store_address()).await;
+    world.assist.set_fault(EndpointFault::EndlessInformational);
+    let begun = Instant::now();
+    while begun.elapsed() < DEADLINE {
+        let ask = CallerRequest::new("POST /ask/1", "e1").with_header("X-Model", "base/a1");
+        let answer = ask.send(&node).await;
+        assert_ne!(answer.status, 200, "{answer:?}");
+        assert!(node.resident_bytes() < MEMORY_LIMIT / 4);
+    }
+    assert_eq!(CallerRequest::new("GET /look/1", "e2").send(&node).await.status, 200);
+}
+
 // The endpoint sends faster than the callers read, so data is always at hand.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn streams_without_end_are_cut_at_their_deadline() {
