Conclude that one version serves only from answers to a take-up

Without the store, all nodes that may know the stream must have answered; with it, the endpoints' entries are read beside the batches. What stays unknown is refused, as before.

--- a/src/endpoint_table.rs
+++ b/src/endpoint_table.rs
@@ -49,6 +49,13 @@
     pub started_at: u64,
 }
 
+impl EndpointEntry {
+    /// Where streams that the endpoint begins come from.
+    pub fn origin(&self) -> Origin {
+        Origin { service: self.service.clone(), software: self.software.clone() }
+    }
+}
+
 /// Requests that one node has at an endpoint, and their tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RequestLoad {
@@ -188,8 +195,7 @@
 
     /// Where streams that this endpoint begins come from.
     pub fn origin(&self) -> Origin {
-        let EndpointEntry { service, software, .. } = &self.entry;
-        Origin { service: service.clone(), software: software.clone() }
+        self.entry.origin()
     }
 
     /// Records the rate limit stated by an answer that arrived at `heard`; `None` if it states
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -102,6 +102,13 @@
         versions.next().map(|(origin, _)| origin).filter(|_| versions.next().is_none())
     }
 
+    /// Versions of a service seen within the lifetime of a stream, with the time since in ms, for
+    /// the log.
+    pub fn versions_of(&self, now: Ms, service: &str) -> Vec<(String, u64)> {
+        let versions = self.recent(now).filter(|(origin, _)| *origin.service == *service);
+        versions.map(|(origin, age)| (origin.software.to_string(), age.0)).collect()
+    }
+
     /// Whether this node has run for the lifetime of a stream.
     pub fn has_seen_all(&self, now: Ms) -> bool {
         now.since(self.started) >= self.lifetime
--- a/src/stream_store.rs
+++ b/src/stream_store.rs
@@ -1,8 +1,9 @@
 //! Finds out which software version began a stream that a caller takes up, and writes down what
 //! this node knows for others.
 //!
-//! A node that does not know a stream asks the nodes that it hears, and then reads what all nodes
-//! have written to the store. Each node writes the streams that began through it in batches, to
+//! A node that does not know a stream asks the other nodes, and then reads what all nodes have
+//! written to the store, and which versions serve: it may have been out of step while a version
+//! joined. Each node writes the streams that began through it in batches, to
 //! rows that it uses in turn, so that the table needs no cleaning while nodes live.
 
 use std::net::SocketAddr;
@@ -18,11 +19,12 @@
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::edge::Edge;
+use crate::edge::{Edge, Peer};
 use crate::error::{Error, Result};
 use crate::generated::mesh as wire;
 use crate::ids::Map;
 use crate::log_sink::decision;
+use crate::platform::entry;
 use crate::platform::store::{Change, Outcome, Row};
 use crate::read_schedule::ReadSchedule;
 use crate::shared_limits::SILENT_AFTER;
@@ -88,22 +90,40 @@
     Ok(Some(Origin { service: origin.service.into(), software: origin.software.into() }))
 }
 
+/// What the peers know of a stream.
+#[derive(Debug)]
+enum PeerAnswer {
+    Known(Origin),
+    /// All nodes that may know it have answered.
+    Unknown,
+    /// A node that may know it has not answered.
+    Unsure,
+}
+
 /// Asks the peers that are heard; the first one that knows the stream decides.
-async fn ask_peers(edge: &Edge, id: StreamId) -> Option<Origin> {
+async fn ask_peers(edge: &Edge, id: StreamId) -> PeerAnswer {
     let now = BootClock.now();
-    let mut asked: FuturesUnordered<_> = {
+    let lifetime = edge.streams.borrow().lifetime();
+    let (mut asked, mut is_sure) = {
         let peers = edge.peers.borrow();
-        let heard = peers.values().filter(|p| now.since(p.last_beat) < SILENT_AFTER);
-        heard.map(|p| ask_peer(edge, p.address, id)).collect()
+        let age = |p: &Peer| now.since(p.last_beat);
+        let heard = peers.values().filter(|p| age(p) < SILENT_AFTER);
+        let asked: FuturesUnordered<_> = heard.map(|p| ask_peer(edge, p.address, id)).collect();
+        let any_silent = peers.values().any(|p| (SILENT_AFTER..lifetime).contains(&age(p)));
+        let counts = edge.node_counts(now);
+        (asked, !any_silent && counts.heard == counts.nodes)
     };
     while let Some(answer) = asked.next().await {
         match answer {
-            Ok(Some(origin)) => return Some(origin),
+            Ok(Some(origin)) => return PeerAnswer::Known(origin),
             Ok(None) => {}
-            Err(e) => log::debug!("asking a peer for stream {id:016x} failed: {e}"),
+            Err(e) => {
+                log::debug!("asking a peer for stream {id:016x} failed: {e}");
+                is_sure = false;
+            }
         }
     }
-    None
+    if is_sure { PeerAnswer::Unknown } else { PeerAnswer::Unsure }
 }
 
 /// Takes over the streams and versions of a batch; false if it is so old that its node is gone.
@@ -130,7 +150,16 @@
     age < REMOVED_AFTER
 }
 
-/// Reads the batches of all nodes, unless that has been done since `arrived`.
+/// Takes over which versions serve by the endpoints' entries, also of those that leave.
+fn learn_versions(edge: &Edge, rows: &[Row], now: Ms) {
+    let mut streams = edge.streams.borrow_mut();
+    // Entries that cannot be decoded name no version; `follow_entries` logs them.
+    for entry in rows.iter().filter_map(|row| entry::decode(&row.key, &row.value).ok()) {
+        streams.observe(&entry.origin(), now);
+    }
+}
+
+/// Reads the batches of all nodes and the versions that serve, unless that has been done since `arrived`.
 async fn read_batches(edge: &Edge, arrived: Ms) -> Result<()> {
     let reader = &edge.batch_reader;
     let mut read_at = reader.read_at.lock().await;
@@ -139,14 +168,17 @@
     }
     let begun = BootClock.now();
     let schedule = ReadSchedule::of_documents(&edge.deployment.bounds).without_wait();
-    let read = read_until_answered(edge, &reader.dependency, &schedule, |mode| {
-        read_part(edge, TABLE, TABLE, mode)
-    });
-    let rows = match read.await? {
-        Outcome::Done(rows) => rows.rows,
-        outcome => return Err(Error::platform(TABLE, format!("{outcome:?}"))),
+    let read = |table: &'static str, part: &'static str| {
+        read_until_answered(edge, &reader.dependency, &schedule, move |mode| {
+            read_part(edge, table, part, mode)
+        })
+    };
+    let (rows, entries) = match tokio::try_join!(read(TABLE, TABLE), read(entry::TABLE, ""))? {
+        (Outcome::Done(rows), Outcome::Done(entries)) => (rows.rows, entries.rows),
+        (rows, _) => return Err(Error::platform(TABLE, format!("{rows:?}"))),
     };
     reader.dependency.on_success();
+    learn_versions(edge, &entries, begun);
     let old: Vec<&Row> = rows.iter().filter(|row| !learn_batch(edge, row, begun)).collect();
     *read_at = Some(begun);
     remove_batches(edge, &old).await
@@ -188,7 +220,8 @@
         return Some((origin, Source::Known));
     }
     let arrived = BootClock.now();
-    if let Some(origin) = ask_peers(edge, id).await {
+    let asked = ask_peers(edge, id).await;
+    if let PeerAnswer::Known(origin) = asked {
         return Some((origin, Source::Peer));
     }
     let is_failing = edge.store_health.borrow().is_failing();
@@ -207,9 +240,12 @@
     let now = BootClock.now();
     let streams = edge.streams.borrow();
     // Without the store, what nodes knew that are gone is lost.
-    let counts = edge.node_counts(now);
-    let is_sure = was_read || (streams.has_seen_all(now) && counts.heard == counts.nodes);
+    let all_asked = matches!(asked, PeerAnswer::Unknown);
+    let is_sure = was_read || (streams.has_seen_all(now) && all_asked);
     let only = streams.only_version(now, service).filter(|_| is_sure);
+    decision!("stream_not_found", "stream": format!("{id:016x}"), "service": service,
+        "versions": streams.versions_of(now, service), "only": only.map(|o| &*o.software),
+        "store_read": was_read, "all_asked": all_asked, "seen_all": streams.has_seen_all(now));
     only.map(|origin| (origin.clone(), Source::OnlyVersion))
 }
 
--- a/tests/edge_resumed.rs
+++ b/tests/edge_resumed.rs
@@ -4,10 +4,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rustix::process::Signal;
 use serde_json::json;
 use standin::caller::{CallerRequest, KEY, exchange, read_events, wait_until};
-use standin::endpoint_instance::Instance;
+use standin::endpoint_instance::{EndpointFault, Instance};
 use standin::node::{Node, NodeAddresses};
+use standin::proxy::{Mode, Proxy};
 use standin::row_store::RowStoreFault;
 use standin::test_setup::{TestSetup, document};
 use tokio::time::sleep;
@@ -27,6 +29,14 @@
 const TRIES: usize = 4;
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Asks for a stream on a connection of its own.
+fn ask(attempt: &str) -> CallerRequest<'_> {
+    CallerRequest::new("POST /ask/1", attempt)
+        .with_header("X-Model", "base")
+        .with_header("X-Token-Count", "10,5")
+        .with_header("Connection", "close")
+}
+
 /// Nodes in front of engines of two software versions.
 struct Fleet {
     world: TestSetup,
@@ -83,21 +93,15 @@
             let fronts = fronts.clone();
             callers.push(tokio::spawn(async move {
                 let first = format!("s{n}");
-                let request = CallerRequest::new("POST /ask/1", &first)
-                    .with_header("X-Model", "base")
-                    .with_header("X-Token-Count", "10,5")
-                    .with_header("Connection", "close");
+                let request = ask(&first);
                 let begun = read_events(fronts[n % fronts.len()], &request.bytes()).await;
                 let mut stream = Stream { parts: vec![begun.clone()], whole: begun.whole };
                 for t in 1..=TRIES {
                     let Some(last) = stream.last_event().filter(|_| !stream.whole) else { break };
                     let attempt = format!("{first}-{t}");
-                    let request = CallerRequest::new("POST /ask/1", &attempt)
-                        .with_header("X-Model", "base")
-                        .with_header("X-Token-Count", "10,5")
+                    let request = ask(&attempt)
                         .with_header("Last-Event-Id", &last.to_string())
-                        .with_header("Resumes", &first)
-                        .with_header("Connection", "close");
+                        .with_header("Resumes", &first);
                     let part = read_events(fronts[(n + t) % fronts.len()], &request.bytes()).await;
                     stream.whole = part.whole;
                     stream.parts.push(part);
@@ -265,3 +269,84 @@
         assert_eq!((answer.status, answer.body.as_str()), (503, "stream_version_unknown"));
     }
 }
+
+/// How a node is out of step while a version joins.
+#[derive(Clone, Copy, Debug)]
+enum OutOfStep {
+    StandsStill,
+    WithoutStore,
+}
+
+/// Nodes that are out of step, each in a fleet of its own.
+const OUT_OF_STEP: usize = 6;
+/// Time after which a node knows all versions of streams that may be taken up.
+const LIFETIME: Duration = Duration::from_secs(10);
+
+/// A node is out of step while an engine of another version joins and a stream begins there through
+/// the other node, which is killed before it can tell anybody. The caller takes the stream up at the
+/// first node; returns whether it got events of the former version.
+async fn is_joined(how: OutOfStep, n: usize) -> bool {
+    let world = TestSetup::start().await;
+    world.rows.remove("servers", &world.assist.id);
+    let mut document = document(4, &[KEY]);
+    document["Routes"][2]["Resumable"] = json!(true);
+    world.rows.put("op", "config", &document);
+    let old = Instance::start("e-0", "assist", Some("base")).await.unwrap();
+    let new = Instance::start("e-1", "assist", Some("base")).await.unwrap();
+    for (engine, version) in [(&old, "v1"), (&new, "v2")] {
+        engine.set_software(version);
+        engine.set_stream(EVENTS, EVENT_PAUSE);
+    }
+    world.rows.put("servers", &old.id, &old.entry("ready"));
+    let proxy = Proxy::start(world.store_address()).await.unwrap();
+    let node = Node::start(&format!("resumed-{how:?}-{n}"), proxy.address).await;
+    let other = Node::start(&format!("resumed-other-{how:?}-{n}"), world.store_address()).await;
+    sleep(LIFETIME + STABLE).await;
+    match how {
+        OutOfStep::StandsStill => node.signal(Signal::STOP),
+        OutOfStep::WithoutStore => proxy.set_mode(Mode::Reset),
+    }
+    // Whether a beat names the new version depends on when it joins.
+    sleep(STABLE + START_PAUSE * 4 * n as u32).await;
+    old.set_fault(EndpointFault::Full);
+    world.rows.put("servers", &new.id, &new.entry("ready"));
+    let front = other.addresses.frontend;
+    let mut callers = Vec::new();
+    while new.runs().is_empty() {
+        let request = ask(&callers.len().to_string()).bytes();
+        callers.push(tokio::spawn(async move { read_events(front, &request).await }));
+        sleep(START_PAUSE).await;
+    }
+    // The first event is out.
+    sleep(EVENT_PAUSE + START_PAUSE).await;
+    drop(other);
+    let first = new.runs()[0].attempt.clone();
+    let part = callers.swap_remove(first.parse().unwrap()).await.unwrap();
+    let last = part.ids.last().expect("the stream has begun");
+    old.set_fault(EndpointFault::None);
+    node.signal(Signal::CONT);
+    let request =
+        ask("again").with_header("Last-Event-Id", &last.to_string()).with_header("Resumes", &first);
+    let rest = read_events(node.addresses.frontend, &request.bytes()).await;
+    !rest.ids.is_empty() && rest.seal.contains("e-0.")
+}
+
+async fn check_out_of_step(how: OutOfStep) {
+    let cases: Vec<_> = (0..OUT_OF_STEP).map(|n| tokio::spawn(is_joined(how, n))).collect();
+    let mut joined = 0;
+    for case in cases {
+        joined += usize::from(case.await.unwrap());
+    }
+    assert_eq!(joined, 0, "of {OUT_OF_STEP}");
+}
+
+#[tokio::test]
+async fn streams_of_a_version_that_joined_while_a_node_stood_still_are_not_joined_there() {
+    check_out_of_step(OutOfStep::StandsStill).await;
+}
+
+// The node had heard all others within the last second, and took the only version that it knew.
+#[tokio::test]
+async fn streams_of_a_version_that_joined_while_a_node_had_no_store_are_not_joined_there() {
+    check_out_of_step(OutOfStep::WithoutStore).await;
+}
