Take an answer without a length as cut if its endpoint has ended

At the end of such a body the HTTP client, in both roles, looks whether the server still lives: an idle connection that is open, or a connection attempt that is not refused. Connections move to a module of their own.

answer_without_length_is_incomplete_if_its_endpoint_has_ended: before, Ok(10) after the endpoint had ended; passes now.

--- a/src/crash_watch.rs
+++ b/src/crash_watch.rs
@@ -17,11 +17,11 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::connection::refuses_connections;
 use crate::crash_evidence::{Crash, CrashCause, CrashEvidence, Feature};
 use crate::edge::Edge;
 use crate::failpoint::{Failpoint, active};
 use crate::generated::mesh as wire;
-use crate::http_client::refuses_connections;
 use crate::ids::{Map, stable_hash};
 use crate::log_sink::decision;
 use crate::mesh;
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -5,7 +5,7 @@
 //! which return unsent requests; a higher-level client would hide which connection a
 //! request used and how much of it was written.
 
-use std::io::ErrorKind;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -16,14 +16,11 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::connection::{Connection, connect, refuses_connections};
 use crate::ids::Map;
-use crate::read_limit::{BoundedStream, MAX_OVERHEAD, ReadMeter};
 
 /// Time limit for a pooled connection to become ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
@@ -34,8 +31,8 @@
 /// Most bytes read of the rest of a finished answer.
 const MAX_DRAINED_BYTES: usize = 64 << 10;
 
-/// Most bytes read ahead on a connection, which also bounds the head of a response.
-const MAX_READ_AHEAD: usize = MAX_OVERHEAD / 2;
+/// Time after the end of a process within which all of its sockets are closed.
+const END_VISIBLE_AFTER: Duration = Duration::from_millis(20);
 
 /// Size of a response that is read even if [`HttpSettings::max_buffered`] is reached.
 pub const SMALL_BODY: usize = 64 << 10;
@@ -93,19 +90,6 @@
     }
 }
 
-/// A connection; dropping it closes the socket immediately.
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    task: JoinHandle<()>,
-    meter: ReadMeter,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 struct ClientShared {
     settings: HttpSettings,
     /// Bytes of the responses that are being read to their end.
@@ -256,6 +240,20 @@
         answer.read_to_end(deadline).await.map_err(SendError::Unknown)
     }
 
+    /// Whether the server at an address has ended, shortly after it closed a connection: it has
+    /// then closed the others as well, and refuses new ones.
+    async fn has_ended(&self, addr: SocketAddr) -> bool {
+        sleep(END_VISIBLE_AFTER).await;
+        let is_open = self
+            .0
+            .idle
+            .lock()
+            .unwrap()
+            .get(&addr)
+            .is_some_and(|list| list.iter().any(|(conn, _)| !conn.sender.is_closed()));
+        !is_open && refuses_connections(addr).await
+    }
+
     /// Closes all idle connections to an address.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.0.idle.lock().unwrap().remove(&addr);
@@ -274,8 +272,22 @@
                 let (head, body) = response.into_parts();
                 let (status, headers) = (head.status, head.headers);
                 let (conn, client, idle) = (Some(conn), self.clone(), self.0.settings.idle_timeout);
-                let reusable = true;
-                Ok(IncomingResponse { status, headers, body, conn, client, addr, idle, reusable })
+                let (reusable, end_check) = (true, None);
+                let unframed = !headers.contains_key(header::CONTENT_LENGTH)
+                    && !headers.contains_key(header::TRANSFER_ENCODING)
+                    && !body.is_end_stream();
+                Ok(IncomingResponse {
+                    status,
+                    headers,
+                    body,
+                    conn,
+                    client,
+                    addr,
+                    idle,
+                    reusable,
+                    unframed,
+                    end_check,
+                })
             }
             // Hyper returns the request only if it has not started to write it.
             Ok(Err(mut error)) => match error.take_message() {
@@ -380,25 +392,6 @@
     }
 }
 
-async fn connect(addr: SocketAddr, unacked: Option<Duration>) -> Result<Connection, String> {
-    let stream = TcpStream::connect(addr).await.map_err(|e| format!("{addr}: {e}"))?;
-    stream.set_nodelay(true).map_err(|e| format!("{addr}: {e}"))?;
-    if let Some(unacked) = unacked {
-        let ms = u32::try_from(unacked.as_millis()).unwrap_or(u32::MAX);
-        // Without this option, only the deadlines detect a silent connection.
-        if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(&stream, ms) {
-            log::debug!("{addr}: setting the timeout for unacknowledged bytes failed: {e}");
-        }
-    }
-    let meter = ReadMeter::default();
-    let stream = TokioIo::new(BoundedStream::new(stream, meter.clone()));
-    let handshake = http1::Builder::new().max_buf_size(MAX_READ_AHEAD).handshake(stream);
-    let (sender, conn) = handshake.await.map_err(|e| format!("{addr}: {e}"))?;
-    // A connection error is also returned to the request that waits for a response.
-    let task = tokio::spawn(async move { drop(conn.await) });
-    Ok(Connection { sender, task, meter })
-}
-
 /// A response with its complete body.
 #[derive(Clone, Debug)]
 pub struct FullResponse {
@@ -425,9 +418,18 @@
     idle: Duration,
     /// Whether the connection may carry another request.
     reusable: bool,
+    /// Whether only the end of the connection ends the body, and it has not been checked.
+    unframed: bool,
+    /// Checks at the end of an unframed body whether the server has ended.
+    end_check: Option<JoinHandle<bool>>,
 }
 
 impl IncomingResponse {
+    /// Whether only the end of the connection ends the body.
+    pub fn is_unframed(&self) -> bool {
+        self.unframed
+    }
+
     /// Closes the connection after this response instead of reusing it.
     pub fn discard_connection(&mut self) {
         self.reusable = false;
@@ -457,6 +459,11 @@
                     Poll::Ready(Some(Err(format!("{}: {e}", self.addr))))
                 }
                 Poll::Ready(None) => {
+                    if std::task::ready!(self.poll_server_ended(cx)) {
+                        self.conn = None;
+                        let reason = "the server has ended during a response without a length";
+                        return Poll::Ready(Some(Err(format!("{}: {reason}", self.addr))));
+                    }
                     if let Some(conn) = self.conn.take().filter(|_| self.reusable) {
                         self.client.return_idle(self.addr, conn, self.idle);
                     }
@@ -466,6 +473,22 @@
         }
     }
 
+    /// Polls whether the server has ended, which closes an unframed body as its own end does.
+    fn poll_server_ended(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        if !self.unframed {
+            return Poll::Ready(false);
+        }
+        let (client, addr) = (&self.client, self.addr);
+        let check = self.end_check.get_or_insert_with(|| {
+            let client = client.clone();
+            tokio::spawn(async move { client.has_ended(addr).await })
+        });
+        let ended = std::task::ready!(std::pin::Pin::new(check).poll(cx));
+        self.unframed = false;
+        // A check that cannot be completed shows nothing.
+        Poll::Ready(ended.unwrap_or(false))
+    }
+
     /// Reads the next piece of the body; `None` at its regular end.
     pub async fn chunk(&mut self) -> Option<Result<Bytes, String>> {
         std::future::poll_fn(|cx| self.poll_chunk(cx)).await
@@ -543,12 +566,3 @@
     }
     out
 }
-
-/// Time limit for a connection attempt that tests whether a process has ended.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Whether an address refuses connections.
-pub(crate) async fn refuses_connections(addr: SocketAddr) -> bool {
-    let connect = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
-    matches!(connect, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod config_document;
 mod config_rules;
 pub mod config_store;
+mod connection;
 mod connection_limit;
 #[doc(hidden)]
 pub mod core;
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use tokio::time::Instant;
 
@@ -219,8 +219,7 @@
         sent.on_end(RequestOutcome::Broken);
         return Err(SendFailure::Unknown("garbled_answer"));
     }
-    let unframed = !answer.headers.contains_key(header::CONTENT_LENGTH)
-        && !answer.headers.contains_key(header::TRANSFER_ENCODING);
+    let unframed = answer.is_unframed();
     let mut response = Response::new(());
     *response.status_mut() = status;
     *response.headers_mut() = std::mem::take(&mut answer.headers);
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -489,7 +489,7 @@
         };
         // A refused connection shows immediately that the process has ended.
         let ended = match (&result, row) {
-            (Err(_), Some((addr, _))) => crate::http_client::refuses_connections(addr).await,
+            (Err(_), Some((addr, _))) => crate::connection::refuses_connections(addr).await,
             _ => false,
         };
         self.with_core(|core, now, out| {
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -105,3 +105,31 @@
     let call = HttpClientCall { client, address };
     assert_eq!(call.fetch().await, Ok(MAX_BODY / 2));
 }
+
+/// Answers one call with a body without length, closes the connection regularly, and with
+/// `ends` stops listening as a process does that ends.
+async fn answer_without_length(ends: bool) -> Result<usize, SendError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 1 << 10];
+        let _ = stream.read(&mut request).await;
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nten bytes.").await.unwrap();
+        drop(stream);
+        (!ends).then_some(listener)
+    });
+    let call = HttpClientCall { client: HttpClient::new(HttpSettings::default()), address };
+    let answer = call.fetch().await;
+    drop(server.await.unwrap());
+    answer
+}
+
+// The kernel of a process that is killed closes its connections as regularly as the process does at
+// the end of such an answer.
+#[tokio::test]
+async fn answer_without_length_is_incomplete_if_its_endpoint_has_ended() {
+    assert_eq!(answer_without_length(false).await, Ok(10));
+    let answer = answer_without_length(true).await;
+    assert!(matches!(answer, Err(SendError::Unknown(_))), "{answer:?}");
+}
