--- a/src/edge.rs
+++ b/src/edge.rs
@@ -37,7 +37,10 @@
 use crate::stream_origins::StreamOrigins;
 use crate::stream_store::BatchReader;
 use crate::time::{BootClock, Clock, Ms, wall_clock};
-use crate::{edge_listeners, mesh, order_executor, quarantine_store, store_watcher, stream_store};
+use crate::{
+    edge_listeners, holder_claims, mesh, order_executor, quarantine_store, store_watcher,
+    stream_store,
+};
 
 /// Shortest time from SIGTERM to exit. The balancer stops sending connections only after
 /// two failed checks, one second apart.
@@ -443,7 +446,7 @@
     }
     // The lease is released last: until then the node still sends orders, and a restarted
     // node regains its endpoints without the pause that another holder has to keep.
-    if timeout(RELEASE_TIMEOUT, store_watcher::release_lease(edge)).await.is_err() {
+    if timeout(RELEASE_TIMEOUT, holder_claims::release_lease(edge)).await.is_err() {
         log::warn!("releasing the lease timed out; it lapses by itself");
     }
     decision!("stopped", "in_flight": edge.in_flight.get(),
@@ -477,7 +480,7 @@
     spawn_local(mesh::send_beats(edge.clone()));
     spawn_local(store_watcher::follow_documents(edge.clone()));
     spawn_local(store_watcher::follow_entries(edge.clone()));
-    spawn_local(store_watcher::maintain_membership(edge.clone()));
+    spawn_local(holder_claims::maintain_membership(edge.clone()));
     spawn_local(order_executor::manage_workers(edge.clone()));
     spawn_local(quarantine_store::follow_quarantine(edge.clone()));
     spawn_local(crash_watch::weigh_evidence(edge.clone()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod generated;
 mod heartbeat;
 mod help;
+mod holder_claims;
 pub mod http_client;
 pub mod ids;
 pub mod invariant;
