Let a restarted node wait for the rest of its hand-over pause

The holder's row now says until when its pause lasts, on the store's steady clock, with the time of the calls added on the safe side.

--- a/src/endpoint_holders.rs
+++ b/src/endpoint_holders.rs
@@ -9,7 +9,7 @@
 //! plus a margin, both measured on this node's clock. It has been released when its row says so.
 //! Another node then claims the endpoints and pauses before its first order, because orders of
 //! two holders to one endpoint need that pause between them. A restarted node claims its own
-//! endpoints at once, because it is the same holder.
+//! endpoints at once, because it is the same holder, and waits for what is left of such a pause.
 //!
 //! When the store is restored from an older copy, rows of the last seconds are gone or back. A
 //! holder then goes on under its lease of the former era and writes its claims again. Nobody
@@ -53,6 +53,8 @@
     pub start: u64,
     /// Version of the row, which is the fencing token.
     pub fence: u64,
+    /// Time from which the holder may give orders, on the store's clock; `None` if it may at once.
+    pub orders_from: Option<u64>,
 }
 
 /// Fencing token of this node's orders to an endpoint that it holds.
@@ -73,11 +75,23 @@
     pub expected: u64,
     /// Pause between the claim and the first order.
     pub pause: Ms,
+    /// End of the pause on the store's clock, for the node's next process; `None` without a pause.
+    pub orders_from: Option<u64>,
     /// Former holder and the version that its lease must have; 0 if it must have none. The
     /// lease was found lapsed or released, and must not have been renewed since.
     pub former_lease: Option<(Rc<str>, u64)>,
 }
 
+/// A reading of the store's clock.
+#[derive(Clone, Copy, Debug)]
+struct StoreTime {
+    /// When the call was sent that read it, and when its answer arrived.
+    sent: Ms,
+    received: Ms,
+    /// The clock, in ms.
+    clock: u64,
+}
+
 /// What is known of a lease of another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseState {
@@ -120,6 +134,8 @@
     /// Nodes that hold endpoints and have no row, with the instant at which that was first seen.
     missing: Map<Rc<str>, Ms>,
     holders: Map<Rc<str>, HolderRecord>,
+    /// Last reading of the store's clock.
+    store_time: Option<StoreTime>,
     held: Map<Rc<str>, OrderFence>,
     /// Whether the holders have been read since this node's lease began.
     holders_read: bool,
@@ -158,6 +174,7 @@
             nodes: Map::default(),
             missing: Map::default(),
             holders: Map::default(),
+            store_time: None,
             held: Map::default(),
             holders_read: false,
             unlisted: Map::default(),
@@ -339,6 +356,28 @@
         may_claim.then_some(self.handover_pause)
     }
 
+    /// Records the store's clock as stated by the answer that arrived at `received` to a call that
+    /// was sent at `sent`.
+    pub fn on_store_time(&mut self, sent: Ms, received: Ms, clock: u64) {
+        self.store_time = Some(StoreTime { sent, received, clock });
+    }
+
+    /// Latest time that the store's clock may show when a pause ends that begins now. Without a
+    /// reading, no time is late enough.
+    fn pause_end(&self, now: Ms, pause: Ms) -> Option<u64> {
+        let latest = |time: &StoreTime| time.clock.saturating_add((now.since(time.sent) + pause).0);
+        (pause > Ms(0)).then(|| self.store_time.as_ref().map_or(u64::MAX, latest))
+    }
+
+    /// What is left of the pause of a former process of this node.
+    fn pause_left(&self, now: Ms, holder: &HolderRecord) -> Ms {
+        let Some(end) = holder.orders_from else { return Ms(0) };
+        // A restored store's clock has nothing to do with the former one.
+        let known = self.store_time.filter(|_| row_version::era(holder.fence) >= self.era);
+        let earliest = known.map_or(0, |time| time.clock + now.since(time.received).0);
+        Ms(end.saturating_sub(earliest)).min(self.handover_pause)
+    }
+
     /// Takes note of the nodes that hold endpoints and have no row.
     fn note_missing(&mut self, now: Ms) {
         let mut since = std::mem::take(&mut self.missing);
@@ -496,6 +535,7 @@
                 endpoint: id.clone(),
                 expected,
                 pause,
+                orders_from: self.pause_end(now, pause),
                 former_lease,
             };
             // The restored store does not know this node's claim.
@@ -508,7 +548,9 @@
             }
             match self.holders.get(id) {
                 // Held by this node before its process restarted.
-                Some(h) if h.node == self.name => claims.push(claim(h.fence, Ms(0), None)),
+                Some(h) if h.node == self.name => {
+                    claims.push(claim(h.fence, self.pause_left(now, h), None));
+                }
                 Some(h) if self.is_live(now, &h.node) => {}
                 _ if !settled => {}
                 Some(h) => {
--- a/src/holder_claims.rs
+++ b/src/holder_claims.rs
@@ -51,6 +51,9 @@
 struct HolderValue {
     node: String,
     start: u64,
+    /// Time from which the holder may give orders, on the store's clock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    orders_from: Option<u64>,
 }
 
 /// Writes this node's row over the version that it knows, to renew or to release its lease; false if
@@ -132,6 +135,7 @@
 }
 
 async fn read_holders(edge: &Edge) -> Result<bool> {
+    let sent = BootClock.now();
     let Outcome::Done(holders) = read_all(edge, HOLDERS_TABLE, CallMode::PLAIN).await? else {
         return Ok(false);
     };
@@ -145,16 +149,21 @@
             }
         };
         let node = Rc::from(value.node);
-        let holding = HolderRecord { node, start: value.start, fence: row.version };
+        let HolderValue { start, orders_from, .. } = value;
+        let holding = HolderRecord { node, start, fence: row.version, orders_from };
         Some((Rc::from(row.key.as_str()), holding))
     };
     let rows = holders.rows.iter().filter_map(holding).collect();
+    if let Some(clock) = holders.clock {
+        edge.holders.borrow_mut().on_store_time(sent, now, clock);
+    }
     edge.holders.borrow_mut().on_holders(now, rows);
     Ok(true)
 }
 
 async fn write_claim(edge: &Edge, claim: &HolderClaim) -> Result<bool> {
-    let value = HolderValue { node: edge.deployment.node.clone(), start: edge.start };
+    let (node, orders_from) = (edge.deployment.node.clone(), claim.orders_from);
+    let value = HolderValue { node, start: edge.start, orders_from };
     let value = serde_json::to_vec(&value).map_err(|e| Error::input(HOLDERS_TABLE, e))?;
     let change = Change {
         table: HOLDERS_TABLE,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -42,6 +42,8 @@
     pub version: u64,
     /// Whether further rows follow.
     pub more: bool,
+    /// The store's steady clock, in ms; `None` if the answer states none.
+    pub clock: Option<u64>,
 }
 
 /// An answer of the store.
@@ -138,6 +140,8 @@
     ver: u64,
     #[serde(default)]
     has_more: bool,
+    #[serde(default)]
+    now_ms: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -250,7 +254,8 @@
         let wire: WireRows =
             serde_json::from_slice(bytes).map_err(|e| Error::platform(SOURCE, e))?;
         let rows = wire.rows.into_iter().map(|row| decode_row(era, row)).collect();
-        Ok(Rows { rows, version: row_version::qualify(era, wire.ver), more: wire.has_more })
+        let version = row_version::qualify(era, wire.ver);
+        Ok(Rows { rows, version, more: wire.has_more, clock: wire.now_ms })
     })
 }
 
