--- a/standin/src/row_store.rs
+++ b/standin/src/row_store.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use poem::http::StatusCode;
 use serde_json::{Value, json};
-use sycamorefork::platform::store::encode_value;
+use sycamorefork::platform::store::{Outcome, decode_rows, encode_value};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -264,6 +265,17 @@
         state.rows.keys().filter(|(t, _)| t == table).map(|(_, k)| k.clone()).collect()
     }
 
+    /// Value of a row; `None` if there is no such row or its value is not JSON.
+    pub fn value(&self, table: &str, key: &str) -> Option<Value> {
+        let body = lock(&self.state).table(table).to_string();
+        let Ok(Outcome::Done(rows)) = decode_rows(FIRST_ERA, StatusCode::OK, body.as_bytes())
+        else {
+            return None;
+        };
+        let row = rows.rows.into_iter().find(|row| row.key == key)?;
+        serde_json::from_slice(&row.value).ok()
+    }
+
     /// Number of calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
