--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 8: exits with 1 if the rule LIMIT was broken, 0 if it held, 2 if the case could not run.
+# Case 8: exits with 1 if the rule QUOTA was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sycamorefork ] && [ -x target/review-2/release/scene-2 ] || exit 2
-exec target/review-2/release/scene-2 adapters review/8/record.txt
+exec target/review-2/release/scene-2 quota review/8/record.txt
--- a/review/scene-2/src/client.rs
+++ b/review/scene-2/src/client.rs
@@ -96,6 +96,8 @@
     pub node: String,
     /// Status; 0 if the connection broke first.
     pub status: u16,
+    /// Whether the answer is complete.
+    pub whole: bool,
 }
 
 /// Numbers of attempts, unique in a case.
@@ -127,7 +129,7 @@
         if !whole {
             self.open = None;
         }
-        self.answers.lock().unwrap().push(Answer { node, status });
+        self.answers.lock().unwrap().push(Answer { node, status, whole });
     }
 
     fn exchange(&mut self, ask: &Ask, attempt: &str) -> (String, u16, bool) {
@@ -226,10 +228,11 @@
 
 /// Number of answers by status, for the record.
 pub fn by_status(answers: &[Answer]) -> String {
-    let mut counts: BTreeMap<u16, usize> = BTreeMap::new();
+    let mut counts: BTreeMap<(u16, bool), usize> = BTreeMap::new();
     for answer in answers {
-        *counts.entry(answer.status).or_default() += 1;
+        *counts.entry((answer.status, !answer.whole && answer.status > 0)).or_default() += 1;
     }
-    let parts: Vec<String> = counts.iter().map(|(s, n)| format!("{s}: {n}")).collect();
-    parts.join(", ")
+    let cut = |is_cut: bool| if is_cut { " cut" } else { "" };
+    let parts = counts.iter().map(|((status, is_cut), n)| format!("{status}{}: {n}", cut(*is_cut)));
+    parts.collect::<Vec<_>>().join(", ")
 }
--- a/review/scene-2/src/limit.rs
+++ b/review/scene-2/src/limit.rs
@@ -14,6 +14,9 @@
 const DOWN: Duration = Duration::from_millis(4_500);
 /// Time from the return of a runner to the next crash.
 const PAUSE: Duration = Duration::from_millis(14_500);
+/// Clients of each model, and their requests a second.
+const CLIENTS: u64 = 30;
+const RATE: f64 = 60.0;
 /// Crashes, one after the other.
 const CRASHES: usize = 5;
 
@@ -31,8 +34,9 @@
     record.say("all nodes are ready");
     thread::sleep(Duration::from_secs(6));
     let load = |model: &str, first: u64| {
-        let clients = zones.iter().enumerate().map(|(i, zone)| {
-            Client::new(first + i as u64, zone, &world.balancer, record, &world.answers)
+        let clients = (0..CLIENTS).map(|i| {
+            let zone = zones[i as usize % zones.len()];
+            Client::new(first + i, zone, &world.balancer, record, &world.answers)
         });
         let ask = Ask {
             path: PATH.to_owned(),
@@ -43,9 +47,9 @@
             tokens: (646, 70),
             deadline_ms: 6_000,
         };
-        Load::start(clients.collect(), &ask, 6.0)
+        Load::start(clients.collect(), &ask, RATE)
     };
-    let loads = [load(MODEL, 0), load(SECOND, 10)];
+    let loads = [load(MODEL, 0), load(SECOND, CLIENTS)];
     for round in 0..CRASHES {
         // The last runner of the list, which holds the second model, then one of the first.
         let struck = if round % 2 == 0 { world.runners.len() - 1 } else { 0 };
@@ -73,6 +77,10 @@
             }
         }
     }
+    if !world.fleet.excesses.lock().unwrap().is_empty() {
+        let answers = world.answers.lock().unwrap().clone();
+        record.say(&format!("answers before the excess by status: {}", by_status(&answers)));
+    }
     // What the excess does to requests.
     thread::sleep(Duration::from_secs(1));
     loads.into_iter().for_each(Load::stop);
--- a/review/scene-2/src/runner.rs
+++ b/review/scene-2/src/runner.rs
@@ -28,8 +28,8 @@
 const REPORT_LAG: Duration = Duration::from_millis(200);
 /// Time to the first event of a stream, and between events.
 const FIRST_EVENT: Duration = Duration::from_millis(25);
-const EVENT_PAUSE: Duration = Duration::from_millis(10);
-const EVENTS: usize = 4;
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+const EVENTS: usize = 14;
 
 /// What the runners of a deployment can hold.
 #[derive(Clone)]
