--- a/review/scene-2/src/client.rs
+++ b/review/scene-2/src/client.rs
@@ -116,7 +116,13 @@
 }
 
 impl Client {
-    pub fn new(number: u64, zone: &'static str, balancer: &Balancer, record: &Record, answers: &Arc<Mutex<Vec<Answer>>>) -> Self {
+    pub fn new(
+        number: u64,
+        zone: &'static str,
+        balancer: &Balancer,
+        record: &Record,
+        answers: &Arc<Mutex<Vec<Answer>>>,
+    ) -> Self {
         let (balancer, record, answers) = (balancer.clone(), record.clone(), answers.clone());
         Self { number, zone, balancer, record, answers, per_connection: 5, open: None }
     }
@@ -142,11 +148,14 @@
                 Err(_) => return (node, 0, false),
             };
         }
-        let Some((node, connection, used)) = &mut self.open else { return (String::new(), 0, false) };
+        let Some((node, connection, used)) = &mut self.open else {
+            return (String::new(), 0, false);
+        };
         *used += 1;
         let Ask { path, host, key, tokens: (input, output), deadline_ms, .. } = ask;
         let model = ask.model_of(attempt);
-        self.record.write(&format!("sent {attempt} to {node} model {model} tokens {input},{output}"));
+        self.record
+            .write(&format!("sent {attempt} to {node} model {model} tokens {input},{output}"));
         let request = format!(
             "POST {path} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {attempt}\r\nX-Model: {model}\r\n\
              X-Token-Count: {input},{output}\r\nX-Prompt-Prefix: {attempt}:{input}\r\n\
@@ -155,10 +164,8 @@
         let node = node.clone();
         let limit = Duration::from_millis(*deadline_ms + 500);
         let _ = connection.stream.set_read_timeout(Some(limit));
-        let answer = connection
-            .stream
-            .write_all(request.as_bytes())
-            .and_then(|()| connection.read(true));
+        let answer =
+            connection.stream.write_all(request.as_bytes()).and_then(|()| connection.read(true));
         match answer {
             Ok(Some(answer)) => {
                 let whole = answer.whole;
--- a/review/scene-2/src/json.rs
+++ b/review/scene-2/src/json.rs
@@ -154,7 +154,8 @@
     const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for group in bytes.chunks(3) {
-        let word = group.iter().fold(0_u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - group.len()));
+        let word =
+            group.iter().fold(0_u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - group.len()));
         for i in 0..4 {
             let sign = SIGNS[(word >> (18 - 6 * i)) as usize & 63];
             out.push(if i <= group.len() { char::from(sign) } else { '=' });
--- a/review/scene-2/src/runner.rs
+++ b/review/scene-2/src/runner.rs
@@ -93,8 +93,17 @@
         let born = BORN + u64::from(number) * 1_000;
         let (former, beats, switch) = Default::default();
         let fleet = self.clone();
-        let state =
-            Arc::new(State { id: id.clone(), zone, address, born, shape, former, beats, switch, fleet });
+        let state = Arc::new(State {
+            id: id.clone(),
+            zone,
+            address,
+            born,
+            shape,
+            former,
+            beats,
+            switch,
+            fleet,
+        });
         let (server, beating) = (state.clone(), state.clone());
         serve(listener, state.switch.clone(), move |connection, request| {
             server.handle(connection, &request)
@@ -164,7 +173,11 @@
             let ready = self.adapters.iter().filter(|a| a.ready_at <= now);
             let own = ready.filter_map(|a| Some((a.name.strip_prefix(&prefix)?, a.version)));
             let names: Vec<String> = own.map(|(n, v)| quoted(&format!("{n}@{v}"))).collect();
-            format!("{{\"Name\":{},\"Version\":1,\"Adapters\":[{}]}}", quoted(model), names.join(","))
+            format!(
+                "{{\"Name\":{},\"Version\":1,\"Adapters\":[{}]}}",
+                quoted(model),
+                names.join(",")
+            )
         };
         let all: Vec<String> = self.models.iter().map(model).collect();
         format!("[{}]", all.join(","))
@@ -366,7 +379,8 @@
         let Fleet { record, runs, .. } = &*self.fleet;
         let (attempt, tenant) = (request.header("x-attempt-id"), request.header("x-tenant"));
         let id = &self.id;
-        record.write(&format!("run {attempt} at {id} tenant {tenant} model {name} tokens {tokens}"));
+        record
+            .write(&format!("run {attempt} at {id} tenant {tenant} model {name} tokens {tokens}"));
         let run = Run { at: record.now(), tenant: tenant.to_owned(), tokens };
         runs.lock().unwrap().push(run);
         let head = format!(
--- a/review/scene-2/src/store.rs
+++ b/review/scene-2/src/store.rs
@@ -111,7 +111,12 @@
         Ok(Door { address, busy })
     }
 
-    fn handle(&self, connection: &mut Connection, request: &Message, busy: &AtomicBool) -> io::Result<()> {
+    fn handle(
+        &self,
+        connection: &mut Connection,
+        request: &Message,
+        busy: &AtomicBool,
+    ) -> io::Result<()> {
         thread::sleep(CALL_TIME);
         let refusal = (503, "{}".to_owned());
         let (status, body) = match busy.load(Ordering::SeqCst) {
