--- a/review/scene-2/src/main.rs
+++ b/review/scene-2/src/main.rs
@@ -1,7 +1,7 @@
-//! Runs a case of the review: `scene-2 CASE RECORD`, in the root of the repository.
+//! Runs a case of the review: `scene-2 CASE RECORD on|off`, in the root of the repository.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
-//! `TROUBLE=0` the case does the same without its disruption.
+//! `off` the case does the same without its disruption.
 
 mod adapters;
 mod client;
@@ -23,11 +23,11 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
-    let [case, path] = args.as_slice() else {
-        eprintln!("scene-2 CASE RECORD");
+    let [case, path, trouble] = args.as_slice() else {
+        eprintln!("scene-2 CASE RECORD on|off");
         return ExitCode::from(2);
     };
-    let trouble = env::var("TROUBLE").map_or(true, |t| t != "0");
+    let trouble = trouble != "off";
     let held = Record::create(Path::new(path)).map_err(|e| e.to_string()).and_then(|record| {
         let held = match case.as_str() {
             "adapters" => adapters::run(&record, trouble),
