Test nodes before crowds of callers that do not behave

Callers that no operator controls ended a process: it ran out of memory. The tests start a node of each role with lowered limits before a crowd that sends bodies short of their end (chunked in large and in single-byte chunks, announced, piece by piece), whole bodies at once, bodies far over the limit, open heads, idle connections, requests with bytes behind them, or that does not read answers. They check that the process lives, that resident memory and bytes received but not read stay below the machine's memory, that descriptors stay below those for sockets, and that an ordinary request is answered beside the crowd and a body of the largest size after it.

--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -133,15 +133,34 @@
         addresses: NodeAddresses,
         store: SocketAddr,
         failpoint: Option<&str>,
+    ) -> Self {
+        Self::spawn(name, addresses, &settings(name, &addresses, store), failpoint)
+    }
+
+    /// Starts a node at the given addresses, with settings that name them.
+    pub fn start_with(name: &str, addresses: NodeAddresses, settings: &Value) -> Self {
+        Self::spawn(name, addresses, settings, None)
+    }
+
+    fn spawn(
+        name: &str,
+        addresses: NodeAddresses,
+        settings: &Value,
+        failpoint: Option<&str>,
     ) -> Self {
         let path = std::env::temp_dir().join(format!("{name}-{}.json", addresses.frontend.port()));
-        std::fs::write(&path, settings(name, &addresses, store).to_string()).unwrap();
+        std::fs::write(&path, settings.to_string()).unwrap();
         let mut command = Command::new(program_path());
         command.args(["edge", "--settings"]).arg(&path).stdout(log_output(name));
         command.envs(failpoint.map(|name| ("SYCAMOREFORK_FAILPOINT", name)));
         Self { child: command.spawn().unwrap(), addresses }
     }
 
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until the node reports that it is ready.
     pub async fn until_ready(&self) {
         wait_until("the node is ready", || async { self.is_ready().await }).await;
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use standin::load::LoadPlan;
 use sycamorefork::http_client::{
-    FullResponse, HttpClient, HttpSettings, IncomingResponse, build_request,
+    FullResponse, HttpClient, HttpSettings, IncomingResponse, SendError, build_request,
 };
 use sycamorefork::keys;
 use sycamorefork::sse::SseParser;
@@ -25,6 +25,8 @@
 pub const CREDENTIAL: &str = "operator-credential";
 /// API keys of the two teams.
 pub const KEYS: [&str; 2] = ["sf_first-team-key", "sf_second-team-key"];
+/// Limits on callers in the nodes' settings.
+const LIMITS: &str = "body = 65_536\nslow = \"1s\"\nrequest = \"20s\"\nprogress = \"2s\"\n";
 /// Number of adapters of each team.
 pub const ADAPTERS: usize = 40;
 /// Time limit for each wait; only guards against hanging, as no test asserts on elapsed time.
@@ -39,6 +41,14 @@
 }
 
 impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
@@ -124,6 +134,7 @@
     pub endpoints: Vec<EndpointProcess>,
     pub nodes: Vec<NodeProcess>,
     pub directory: PathBuf,
+    limits: String,
     _platform: Process,
 }
 
@@ -135,6 +146,16 @@
 
     /// Starts all processes, the engines with further arguments.
     pub async fn start_with(nodes: usize, engines: usize, engine_args: &[&str]) -> Self {
+        Self::start_limited(nodes, engines, engine_args, LIMITS).await
+    }
+
+    /// Starts all processes, with the limits on callers in the nodes' settings.
+    pub async fn start_limited(
+        nodes: usize,
+        engines: usize,
+        engine_args: &[&str],
+        limits: &str,
+    ) -> Self {
         let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("deployment-{}-{number}", std::process::id()));
@@ -147,6 +168,7 @@
             endpoints: Vec::new(),
             nodes: Vec::new(),
             directory,
+            limits: limits.to_owned(),
             _platform: process,
         };
         for n in 0..engines {
@@ -203,7 +225,8 @@
              [peers]\nsecret = \"a-secret-of-sufficient-length\"\n\
              [admin]\ndigest = \"{digest}\"\n\
              [platform]\ntable = \"{platform}\"\nobjects = \"{platform}\"\nvms = \"{platform}\"\n\
-             [limits]\nbody = 65_536\nslow = \"1s\"\nrequest = \"20s\"\nprogress = \"2s\"\n"
+             [limits]\n{}",
+            self.limits
         );
         for (i, e) in self.endpoints.iter().enumerate() {
             let (role, pool, fenced) = match e.role {
@@ -338,13 +361,25 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> FullResponse {
+        self.try_send(node, method, path, headers, body).await.unwrap()
+    }
+
+    /// Sends one request to a node's callers' listener, which may refuse the connection.
+    pub async fn try_send(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<FullResponse, SendError> {
         let mut req = build_request(method, path, Bytes::from(body.to_owned())).unwrap();
         for (name, value) in headers {
             let name = header::HeaderName::from_bytes(name.as_bytes()).unwrap();
             req.headers_mut().insert(name, value.parse().unwrap());
         }
         let at = self.nodes[node].callers;
-        self.http.fetch(at, req, Instant::now() + WAIT_LIMIT).await.unwrap()
+        self.http.fetch(at, req, Instant::now() + WAIT_LIMIT).await
     }
 
     /// Returns a node's status, or `None` if it does not answer.
