Bound the memory and connections of all callers by one budget

What callers saw: a crowd whose bodies stop short of their end, or that sends many bodies of legal size at once, took memory without a bound, and the process ended. As many idle connections as there are descriptors kept ordinary callers out.

Cause: bodies, answers, heads and buffers had limits each, times the number of connections, which itself had none (edge) or was reached by idle connections (serve). Collecting a body kept a buffer for each chunk, and then made a copy. Receive buffers of sockets grew to the system's maximum, also those towards endpoints while a caller did not read.

Change: caller_budget charges each connection for its buffers, heads, bodies and answers. When a charge does not fit, connections yield that run no request, the one with the most bytes times time first: a body that has not arrived is refused with 503 caller_memory, others are closed. Bodies are read into one piece, charged as it grows; an answer is charged until it is written. Socket buffers have a fixed size. edge: 0.4 of the memory limit, 1/8 of it for large bodies and answers, 0.4 of the descriptors; serve: limits.memory (128 MiB) and limits.connections.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -8,10 +8,12 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use rustix::net::sockopt;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::http_client::HttpSettings;
 use crate::read_limit::{BoundedStream, MAX_OVERHEAD, ReadMeter};
 
 /// Most bytes read ahead on a connection, which also bounds the head of a response.
@@ -30,20 +32,28 @@
     }
 }
 
-/// Opens a connection whose unacknowledged bytes fail it after `unacked`.
+/// Opens a connection with the buffer and the timeout in the settings.
 ///
 /// # Errors
 /// Returns the reason.
 pub(crate) async fn connect(
     addr: SocketAddr,
-    unacked: Option<Duration>,
+    settings: &HttpSettings,
 ) -> Result<Connection, String> {
-    let stream = TcpStream::connect(addr).await.map_err(|e| format!("{addr}: {e}"))?;
-    stream.set_nodelay(true).map_err(|e| format!("{addr}: {e}"))?;
-    if let Some(unacked) = unacked {
+    let failed = |e| format!("{addr}: {e}");
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let socket = socket.map_err(failed)?;
+    if let Some(bytes) = settings.receive_buffer
+        && let Err(e) = sockopt::set_socket_recv_buffer_size(&socket, bytes)
+    {
+        log::debug!("{addr}: bounding the receive buffer failed: {e}");
+    }
+    let stream = socket.connect(addr).await.map_err(failed)?;
+    stream.set_nodelay(true).map_err(failed)?;
+    if let Some(unacked) = settings.unacked_timeout {
         let ms = u32::try_from(unacked.as_millis()).unwrap_or(u32::MAX);
         // Without this option, only the deadlines detect a silent connection.
-        if let Err(e) = rustix::net::sockopt::set_tcp_user_timeout(&stream, ms) {
+        if let Err(e) = sockopt::set_tcp_user_timeout(&stream, ms) {
             log::debug!("{addr}: setting the timeout for unacknowledged bytes failed: {e}");
         }
     }
--- a/src/denial.rs
+++ b/src/denial.rs
@@ -66,6 +66,8 @@
     OutcomeUnknown,
     /// The claim could not be stored in time.
     ClaimTimeout,
+    /// The memory for callers is in use.
+    CallerMemory,
     /// The endpoint failed while the request may have been running.
     EndpointFailed,
     /// The endpoint refused the request.
@@ -106,6 +108,7 @@
     Reason::KeyInUse,
     Reason::OutcomeUnknown,
     Reason::ClaimTimeout,
+    Reason::CallerMemory,
     Reason::EndpointFailed,
     Reason::EndpointRefused,
     Reason::WrongAdapter,
@@ -169,6 +172,7 @@
             Self::KeyInUse => (409, "key_in_use"),
             Self::OutcomeUnknown => (409, "outcome_unknown"),
             Self::ClaimTimeout => (503, "claim_timeout"),
+            Self::CallerMemory => (503, "caller_memory"),
             Self::EndpointFailed => (502, "endpoint_failed"),
             Self::EndpointRefused => (502, "endpoint_refused"),
             Self::WrongAdapter => (502, "wrong_adapter"),
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -14,6 +14,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::caller_budget::{BudgetLimits, CallerBudget};
+use crate::caller_stream::RECEIVE_BUFFER;
 use crate::crash_watch::{self, CrashWatch};
 use crate::departures::Departures;
 use crate::deployment::Deployment;
@@ -58,6 +60,26 @@
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Fraction of the memory limit that answers may take while they are read, per client.
 const BUFFERED_FRACTION: u64 = 8;
+/// Fraction of the memory limit that callers may take with all that they hold.
+const CALLER_FRACTION: f64 = 0.4;
+/// Fraction of the memory limit that large bodies and answers may take.
+const LARGE_FRACTION: f64 = 0.125;
+/// Descriptors that are reserved for files.
+const RESERVED_FILES: usize = 200;
+/// Fraction of the other descriptors that callers may take. Each running request needs another
+/// one towards its endpoint, and the rest is for the store, peers and checks.
+const CALLER_FILES: f64 = 0.4;
+
+/// Limits on all callers of a node together.
+fn caller_limits(deployment: &Deployment) -> BudgetLimits {
+    let memory = deployment.memory_bytes as f64;
+    let sockets = deployment.max_files.saturating_sub(RESERVED_FILES) as f64;
+    BudgetLimits {
+        memory: (memory * CALLER_FRACTION) as u64,
+        large: (memory * LARGE_FRACTION) as u64,
+        connections: ((sockets * CALLER_FILES) as usize).max(1),
+    }
+}
 
 /// Settings of the connections to endpoints, the store and peers.
 fn client_settings(memory_bytes: u64) -> HttpSettings {
@@ -70,6 +92,7 @@
         max_body: 16 << 20,
         max_buffered: usize::try_from(memory_bytes / BUFFERED_FRACTION).unwrap_or(usize::MAX),
         unacked_timeout: Some(Duration::from_millis(1_500)),
+        receive_buffer: None,
     }
 }
 
@@ -160,6 +183,8 @@
     pub(crate) stopped_at: Cell<Option<Instant>>,
     /// Whether the grace period of a stopping node is about to end.
     pub(crate) grace_over: watch::Sender<bool>,
+    /// Memory and connections of callers.
+    pub(crate) callers: CallerBudget,
     pub(crate) in_flight: Cell<usize>,
     /// Callers' connections, including those whose last answer is still being written, and the
     /// listener while it accepts them.
@@ -194,7 +219,10 @@
             departures: RefCell::default(),
             adapter_changes: Notify::new(),
             endpoint_added: Notify::new(),
-            data_client: HttpClient::new(client_settings),
+            data_client: HttpClient::new(HttpSettings {
+                receive_buffer: Some(RECEIVE_BUFFER),
+                ..client_settings
+            }),
             control_client: HttpClient::new(client_settings),
             streams: RefCell::new(StreamOrigins::new(now)),
             batch_reader: BatchReader::default(),
@@ -209,6 +237,7 @@
             stopping: watch::Sender::new(false),
             stopped_at: Cell::new(None),
             grace_over: watch::Sender::new(false),
+            callers: CallerBudget::new(caller_limits(&deployment)),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             metrics: Metrics::with_sink(exposition.clone()),
--- a/src/edge_listeners.rs
+++ b/src/edge_listeners.rs
@@ -16,8 +16,10 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::caller_stream::{CallerStream, bound_buffers};
 use crate::edge::Edge;
 use crate::error::{Error, Result};
+use crate::log_sink::decision;
 use crate::request_proxy::DEFAULT_CALLER_IDLE;
 use crate::response_body::ResponseBody;
 use crate::time::{BootClock, Clock};
@@ -44,13 +46,15 @@
     let socket = TcpSocket::new_v4().map_err(io_error)?;
     socket.set_reuseaddr(true).map_err(io_error)?;
     socket.bind(address).map_err(io_error)?;
-    socket.listen(LISTEN_BACKLOG).map_err(io_error)
+    let listener = socket.listen(LISTEN_BACKLOG).map_err(io_error)?;
+    bound_buffers(&listener);
+    Ok(listener)
 }
 
-async fn accept_connection(listener: &TcpListener) -> TcpStream {
+async fn accept_connection(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return stream,
+            Ok(accepted) => return accepted,
             Err(e) => {
                 log::warn!("accepting a connection failed: {e}");
                 sleep(Duration::from_millis(20)).await;
@@ -82,33 +86,38 @@
     let period_over = accept_period_over(&edge, Duration::ZERO);
     tokio::pin!(period_over);
     loop {
-        let stream = tokio::select! {
+        let (stream, caller) = tokio::select! {
             biased;
-            stream = accept_connection(&listener) => stream,
+            accepted = accept_connection(&listener) => accepted,
             () = &mut period_over => return,
         };
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("setting TCP_NODELAY for a caller failed: {e}");
         }
+        let Ok(stream) = CallerStream::new(&edge.callers, stream, caller) else {
+            let (used, open) = (edge.callers.used(), edge.callers.connections());
+            decision!("connection_refused", "caller": caller, "bytes": used, "connections": open);
+            continue;
+        };
         // Counted from here on, so that the node does not end before the task has begun.
         let guard = ConnectionGuard::new(&edge);
         tokio::task::spawn_local(serve_caller(edge.clone(), stream, guard));
     }
 }
 
-async fn serve_caller(edge: Rc<Edge>, stream: TcpStream, _guard: ConnectionGuard) {
+async fn serve_caller(edge: Rc<Edge>, stream: CallerStream, _guard: ConnectionGuard) {
     let limits = edge.routing.borrow().limits;
     let idle_timeout = limits.map_or(DEFAULT_CALLER_IDLE, |l| l.idle_timeout);
     // A caller that stops reading would hold its answer, or the endpoint that sends it, for good.
     let unread_ms = u32::try_from(idle_timeout.0).unwrap_or(u32::MAX);
-    if let Err(e) = set_tcp_user_timeout(&stream, unread_ms) {
+    if let Err(e) = set_tcp_user_timeout(stream.socket(), unread_ms) {
         log::debug!("setting the timeout for unread answers failed: {e}");
     }
     let head_bytes = limits.map_or(16 << 10, |l| l.head_bytes).max(8 << 10);
-    let state = edge.clone();
+    let state = (edge.clone(), stream.connection().clone());
     let service = service_fn(move |request| {
-        let edge = state.clone();
-        async move { Ok::<_, Infallible>(request_proxy::handle(edge, request).await) }
+        let (edge, caller) = state.clone();
+        async move { Ok::<_, Infallible>(request_proxy::handle(edge, caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -151,7 +160,7 @@
     F: Fn(&str) -> Response<ResponseBody> + Clone + 'static,
 {
     loop {
-        let stream = accept_connection(&listener).await;
+        let (stream, _) = accept_connection(&listener).await;
         let answer = answer.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let response = answer(request.uri().path());
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,19 +1,20 @@
 //! HTTP API for callers.
 //!
-//! Parses requests, enforces limits on their size and time, authenticates API keys, and
+//! Parses requests, enforces limits on their size, time and memory, authenticates API keys, and
 //! converts answers and refusals to HTTP responses. `completion` and `service_call`
 //! process the requests.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use poem::{Body, Request, Response};
-use tokio::io::AsyncReadExt;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::caller_budget::{BudgetFull, CallerBudget, CallerRequest};
+use crate::caller_stream::{self, BodyError};
 use crate::completion::{self, CompletionCall};
 use crate::config::{Config, ModelError};
 use crate::denial::{Denial, Reason};
@@ -24,6 +25,7 @@
 use crate::service_call::{self, ServiceRequest};
 use crate::service_client::contains_key;
 use crate::shell::{Ports, Shell};
+use crate::time::Ms;
 
 /// Maximum length of an idempotency key.
 const IDEMPOTENCY_KEY_MAX_BYTES: usize = 255;
@@ -31,6 +33,10 @@
 const DRAIN_MAX_BYTES: usize = 1 << 20;
 /// Time limit for reading the rest of a refused request's body.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Copies of a completion's body that are kept while it runs, beside the body itself.
+const COMPLETION_COPIES: usize = 2;
+/// Time after which a caller whose request did not fit into the memory may send it again.
+const MEMORY_RETRY: Ms = Ms::secs(1);
 /// Response header with the request id.
 const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Response header that marks an answer replayed from an earlier call.
@@ -41,25 +47,31 @@
 /// HTTP API of one node for callers.
 pub(crate) struct Gateway<P: Ports> {
     shell: Arc<Shell<P>>,
+    callers: CallerBudget,
 }
 
 impl<P: Ports> Gateway<P> {
-    /// Creates the API of a node.
-    pub(crate) fn new(shell: Arc<Shell<P>>) -> Self {
-        Self { shell }
+    /// Creates the API of a node, whose connections are charged to `callers`.
+    pub(crate) fn new(shell: Arc<Shell<P>>, callers: CallerBudget) -> Self {
+        Self { shell, callers }
     }
 
-    async fn dispatch(&self, req: &mut Request, id: RequestId) -> Result<Response, RefusedRequest> {
+    async fn dispatch(
+        &self,
+        req: &mut Request,
+        id: RequestId,
+        held: CallerRequest,
+    ) -> Result<Response, RefusedRequest> {
         self.check_headers(req.headers())?;
         let path = req.uri().path().to_owned();
         match (req.method().clone(), path.as_str()) {
             (Method::GET, "/healthz") => Ok(text_response(StatusCode::OK, "ok\n")),
             (Method::GET, "/readyz") => Ok(self.readiness()),
             (Method::GET, "/v1/models") => self.models(req.headers()),
-            (Method::POST, "/v1/chat/completions") => self.completion(req, id, true).await,
-            (Method::POST, "/v1/completions") => self.completion(req, id, false).await,
+            (Method::POST, "/v1/chat/completions") => self.completion(req, id, held, true).await,
+            (Method::POST, "/v1/completions") => self.completion(req, id, held, false).await,
             (_, path) => match path.strip_prefix("/services/") {
-                Some(rest) => self.service(req, id, rest).await,
+                Some(rest) => self.service(req, id, held, rest).await,
                 None => Err(Denial::new(Reason::NotFound, "no such path or method").into()),
             },
         }
@@ -89,13 +101,17 @@
         &self,
         req: &mut Request,
         id: RequestId,
+        mut held: CallerRequest,
         chat: bool,
     ) -> Result<Response, RefusedRequest> {
         self.shell.check_authority()?;
         let config = self.shell.config()?;
         let caller = authenticate(&config, req.headers())?;
         let mut refused = RefusedRequest::of_caller(&caller);
-        let body = self.receive_body(req).await.map_err(|d| refused.with_denial(d))?;
+        let body = self.receive_body(req, &mut held).await.map_err(|d| refused.with_denial(d))?;
+        held.hold(body.len() * COMPLETION_COPIES)
+            .and_then(|()| held.run())
+            .map_err(|_| refused.with_denial(memory_denial()))?;
         refuse_key_in_request(req, &body).map_err(|d| refused.with_denial(d))?;
         let parsed = CompletionRequest::parse(&body, chat)
             .map_err(|e| refused.with_denial(Denial::new(Reason::BadBody, e)))?;
@@ -108,14 +124,16 @@
             .map_err(|e| refused.with_denial(model_denial(&e, &parsed.model)))?;
         let path = if chat { "/v1/chat/completions" } else { "/v1/completions" };
         let call = CompletionCall::new(&config, id, caller, team, target, parsed, path, &body);
+        drop(body);
         let answer = completion::run(self.shell.clone(), call).await;
-        answer.map(|a| respond(a, id)).map_err(|d| refused.with_denial(d))
+        answer.and_then(|a| respond(a, id, held)).map_err(|d| refused.with_denial(d))
     }
 
     async fn service(
         &self,
         req: &mut Request,
         id: RequestId,
+        mut held: CallerRequest,
         rest: &str,
     ) -> Result<Response, RefusedRequest> {
         self.shell.check_authority()?;
@@ -136,7 +154,8 @@
         refused.caller = caller.clone();
         let team = request_types::route_team(route, &caller).map_err(|d| refused.with_denial(d))?;
         let key = idempotency_key(req.headers()).map_err(|d| refused.with_denial(d))?;
-        let body = self.receive_body(req).await.map_err(|d| refused.with_denial(d))?;
+        let body = self.receive_body(req, &mut held).await.map_err(|d| refused.with_denial(d))?;
+        held.run().map_err(|_| refused.with_denial(memory_denial()))?;
         refuse_key_in_request(req, &body).map_err(|d| refused.with_denial(d))?;
         let mut path = format!("/{tail}");
         if let Some(query) = req.uri().query() {
@@ -154,7 +173,7 @@
             key,
         };
         let answer = service_call::run(self.shell.clone(), call).await;
-        answer.map(|a| respond(a, id)).map_err(|d| refused.with_denial(d))
+        answer.and_then(|a| respond(a, id, held)).map_err(|d| refused.with_denial(d))
     }
 
     fn check_headers(&self, headers: &HeaderMap) -> Result<(), Denial> {
@@ -167,15 +186,32 @@
         Err(Denial::new(Reason::HeadersTooLarge, message))
     }
 
-    async fn receive_body(&self, req: &mut Request) -> Result<Bytes, Denial> {
+    async fn receive_body(
+        &self,
+        req: &mut Request,
+        held: &mut CallerRequest,
+    ) -> Result<Bytes, Denial> {
         let limits = self.shell.limits();
         let max = usize::try_from(limits.max_body).unwrap_or(usize::MAX);
-        match timeout(limits.body_timeout.to_std(), read_body(req.take_body(), max)).await {
-            Ok(Ok(Some(body))) => Ok(body),
-            Ok(Ok(None)) => {
+        let end = Instant::now() + limits.body_timeout.to_std();
+        let announced = content_length(req.headers());
+        let mut pieces = req.take_body().into_bytes_stream();
+        let read = caller_stream::read_body(&mut pieces, max, announced, held);
+        match timeout_at(end, read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyError::TooLarge)) => {
+                // The result is ignored: the request is refused whatever its rest is.
+                let rest = max.saturating_add(DRAIN_MAX_BYTES);
+                let _ = timeout_at(end, discard(&mut pieces, rest)).await;
                 Err(Denial::new(Reason::BodyTooLarge, format!("the body exceeds {max} bytes")))
             }
-            Ok(Err(e)) => {
+            Ok(Err(BodyError::Refused)) => {
+                held.release();
+                // So that the caller can read the refusal; see `discard`.
+                let _ = timeout(DRAIN_TIMEOUT, discard(&mut pieces, max)).await;
+                Err(memory_denial())
+            }
+            Ok(Err(BodyError::Broken(e))) => {
                 Err(Denial::new(Reason::BadBody, format!("the body could not be read: {e}")))
             }
             Err(_) => Err(Denial::new(
@@ -203,12 +239,24 @@
 
     async fn call(&self, mut req: Request) -> poem::Result<Response> {
         let id = RequestId(rand::random());
+        let caller = req.remote_addr().as_socket_addr().copied();
+        let Some(caller) = caller.and_then(|c| self.callers.connection(&c)) else {
+            // The connection has closed meanwhile.
+            return Ok(text_response(StatusCode::SERVICE_UNAVAILABLE, "closed"));
+        };
         let _running = self.shell.track_running();
-        let mut response = match self.dispatch(&mut req, id).await {
+        let dispatched = self.dispatch(&mut req, id, CallerRequest::begin(caller)).await;
+        let mut response = match dispatched {
             Ok(response) => response,
             Err(refused) => {
-                let response = self.refusal_response(refused, id);
-                let _ = timeout(DRAIN_TIMEOUT, read_body(req.take_body(), 0)).await;
+                let closes = refused.reason() == Some(Reason::CallerMemory);
+                let mut response = self.refusal_response(refused, id);
+                if closes {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                let mut rest = req.take_body().into_bytes_stream();
+                let _ = timeout(DRAIN_TIMEOUT, discard(&mut rest, DRAIN_MAX_BYTES)).await;
                 response
             }
         };
@@ -234,6 +282,10 @@
         Self { caller: caller.clone(), ..Self::default() }
     }
 
+    fn reason(&self) -> Option<Reason> {
+        self.denial.as_ref().map(|d| d.reason)
+    }
+
     fn with_denial(&self, denial: Denial) -> Self {
         Self { denial: Some(Box::new(denial)), ..self.clone() }
     }
@@ -300,28 +352,31 @@
     }
 }
 
-/// Reads a body of at most `max` bytes; returns `None` for a larger one.
-///
-/// Up to [`DRAIN_MAX_BYTES`] more of a larger body are read and discarded: closing a
-/// connection with unread data resets it, and the caller would not get the refusal.
-async fn read_body(body: Body, max: usize) -> std::io::Result<Option<Bytes>> {
-    let mut reader = body.into_async_read();
-    let mut bytes = BytesMut::new();
+/// The length that a caller announces for its body.
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads up to `max` bytes of a refused body and discards them: closing a connection with unread
+/// data resets it, and the caller would not get the refusal.
+async fn discard<S>(pieces: &mut S, max: usize)
+where
+    S: Stream<Item = std::io::Result<Bytes>> + Unpin,
+{
     let mut dropped = 0;
-    loop {
-        if reader.read_buf(&mut bytes).await? == 0 {
-            return Ok((dropped == 0).then(|| bytes.freeze()));
-        }
-        if dropped > 0 || bytes.len() > max {
-            dropped += bytes.len();
-            bytes.clear();
-        }
-        if dropped > max.saturating_add(DRAIN_MAX_BYTES) {
-            return Ok(None);
+    while let Some(Ok(piece)) = pieces.next().await {
+        dropped += piece.len();
+        if dropped > max {
+            return;
         }
     }
 }
 
+fn memory_denial() -> Denial {
+    let message = "the memory for callers' requests is in use";
+    Denial::new(Reason::CallerMemory, message).retry_after(MEMORY_RETRY)
+}
+
 fn missing_key_denial() -> Denial {
     Denial::new(Reason::MissingKey, "`Authorization: Bearer KEY` is required")
 }
@@ -359,22 +414,29 @@
     Bytes::from(format!("data: {body}\n\n"))
 }
 
-fn respond(answer: Answer, id: RequestId) -> Response {
+/// The response with an answer, which is charged to its caller until it has been written.
+fn respond(answer: Answer, id: RequestId, held: CallerRequest) -> Result<Response, Denial> {
+    let full = |_: BudgetFull| {
+        let message = "the answer does not fit into the memory for callers";
+        Denial::unknown(Reason::EndpointFailed, message)
+    };
     let mut response = match answer {
         Answer::Whole { status, headers, body } => {
-            let mut response = Response::builder().status(status).body(body);
+            let mut response =
+                Response::builder().status(status).body(held.answer(body).map_err(full)?);
             *response.headers_mut() = headers;
             response
         }
         Answer::Replayed { status, headers, body } => {
-            let mut response = Response::builder().status(status).body(body);
+            let mut response =
+                Response::builder().status(status).body(held.answer(body).map_err(full)?);
             *response.headers_mut() = headers;
             response.headers_mut().insert(IDEMPOTENCY_REPLAYED, HeaderValue::from_static("true"));
             response
         }
         Answer::Events { model, events } => {
-            let stream = futures_util::stream::unfold(events, |mut rx| async move {
-                rx.recv().await.map(|event: Bytes| (event, rx))
+            let stream = futures_util::stream::unfold((events, held), |(mut rx, held)| async {
+                rx.recv().await.map(|event: Bytes| (event, (rx, held)))
             });
             let body = Body::from_bytes_stream(stream.map(Ok::<_, std::io::Error>));
             let mut response = Response::builder().status(StatusCode::OK).body(body);
@@ -386,7 +448,7 @@
         }
     };
     response.headers_mut().insert(X_REQUEST_ID, header_value(&id.to_string()));
-    response
+    Ok(response)
 }
 
 fn json_response<T: serde::Serialize>(status: StatusCode, body: &T) -> Response {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -57,6 +57,8 @@
     /// Time after which a connection with unacknowledged bytes fails; `None` for the
     /// system's default.
     pub unacked_timeout: Option<Duration>,
+    /// Size of the receive buffers, in bytes; `None` for the system's default.
+    pub receive_buffer: Option<usize>,
 }
 
 impl Default for HttpSettings {
@@ -68,6 +70,7 @@
             max_body: 4 << 20,
             max_buffered: 128 << 20,
             unacked_timeout: None,
+            receive_buffer: None,
         }
     }
 }
@@ -186,7 +189,7 @@
     ) -> Result<IncomingResponse, SendError> {
         set_host(addr, &mut request);
         let until = deadline.min(Instant::now() + self.0.settings.connect_timeout);
-        let conn = match timeout_at(until, connect(addr, self.0.settings.unacked_timeout)).await {
+        let conn = match timeout_at(until, connect(addr, self.settings())).await {
             Ok(Ok(conn)) => conn,
             Ok(Err(reason)) => return Err(SendError::Unsent(reason)),
             Err(_) => return Err(SendError::Unsent(format!("{addr}: connect timed out"))),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod authority;
 mod bucket;
 pub mod burn_rate;
+pub mod caller_budget;
+mod caller_stream;
 pub mod cell_placement;
 pub mod cell_router;
 pub mod claim;
--- a/src/node_settings.rs
+++ b/src/node_settings.rs
@@ -35,7 +35,8 @@
     "secret",
     "secret_file",
 ];
-const LIMITS_FIELDS: &[&str] = &["body", "header", "connections", "slow", "request", "progress"];
+const LIMITS_FIELDS: &[&str] =
+    &["body", "header", "connections", "memory", "slow", "request", "progress"];
 
 /// Settings of one node.
 #[derive(Clone, Debug)]
@@ -139,6 +140,9 @@
     pub max_header: u64,
     /// Most open connections.
     pub max_connections: u64,
+    /// Memory that callers may take together with their connections, bodies and answers, in
+    /// bytes; half of it for bodies and answers that are large.
+    pub max_memory: u64,
     /// Longest time until a request body has arrived.
     pub body_timeout: Ms,
     /// Longest time of a request, including its streamed response.
@@ -153,6 +157,7 @@
             max_body: 4 << 20,
             max_header: 16 << 10,
             max_connections: 4096,
+            max_memory: 128 << 20,
             body_timeout: Ms::secs(10),
             request_timeout: Ms::secs(600),
             progress_timeout: Ms::secs(30),
@@ -552,6 +557,7 @@
             max_body: self.number(&s, "body", defaults.max_body, 1 << 10, 1 << 30),
             max_header: self.number(&s, "header", defaults.max_header, 1 << 10, 1 << 20),
             max_connections: self.number(&s, "connections", defaults.max_connections, 1, 1 << 20),
+            max_memory: self.number(&s, "memory", defaults.max_memory, 1 << 20, 1 << 40),
             body_timeout: self.time(&s, "slow", defaults.body_timeout, Ms(100), day),
             request_timeout: self.time(&s, "request", defaults.request_timeout, Ms(100), day),
             progress_timeout: self.time(&s, "progress", defaults.progress_timeout, Ms(100), day),
--- a/src/node_tasks.rs
+++ b/src/node_tasks.rs
@@ -12,6 +12,8 @@
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::admin_api::AdminApi;
+use crate::caller_budget::{BudgetLimits, CONNECTION_BYTES, CallerBudget};
+use crate::caller_stream::bound_buffers;
 use crate::config_store;
 use crate::connection_limit::LimitedAcceptor;
 use crate::error::{Error, Result};
@@ -38,8 +40,9 @@
 /// Maximum time for which a draining node waits for its leases and ownership to be
 /// released.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Maximum number of operators' connections.
-const ADMIN_CONNECTIONS_MAX: usize = 64;
+/// Limits on operators' connections. Their bodies and answers are not charged.
+const ADMIN_LIMITS: BudgetLimits =
+    BudgetLimits { memory: 64 * CONNECTION_BYTES, large: 0, connections: 64 };
 /// Interval between checks of a condition during shutdown.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -59,11 +62,9 @@
         let bind = async |addr: std::net::SocketAddr| {
             TcpListener::bind(addr).await.map_err(|e| Error::io(&addr.to_string(), e))
         };
-        Ok(Self {
-            callers: bind(listen.callers).await?,
-            peers: bind(listen.peers).await?,
-            admin: bind(listen.admin).await?,
-        })
+        let callers = bind(listen.callers).await?;
+        bound_buffers(&callers);
+        Ok(Self { callers, peers: bind(listen.peers).await?, admin: bind(listen.admin).await? })
     }
 
     /// Returns the address of the listener for links between nodes.
@@ -108,12 +109,13 @@
     let (_admin_close, admin_open) = watch::channel(false);
     let admin_open = (admin_open, watch::Sender::new(false));
     let admin = AdminApi::new(shell.clone());
+    let operators = CallerBudget::new(ADMIN_LIMITS);
     let mut tasks = vec![
         tokio::spawn(shell.open_links().listen(listeners.peers)),
         tokio::spawn(run_ticks(shell.clone())),
         tokio::spawn(follow_vm_list(shell.clone())),
         tokio::spawn(follow_head(shell.clone())),
-        tokio::spawn(serve_http(listeners.admin, admin, ADMIN_CONNECTIONS_MAX, idle, admin_open)),
+        tokio::spawn(serve_http(listeners.admin, admin, operators, idle, admin_open)),
     ];
     let (flush, flushing) = watch::channel(false);
     let recorder = tokio::spawn(refusal_writer::run(
@@ -122,13 +124,17 @@
         flushing,
     ));
     let limits = *shell.limits();
-    let max_connections = usize::try_from(limits.max_connections).unwrap_or(usize::MAX);
+    let callers = CallerBudget::new(BudgetLimits {
+        memory: limits.max_memory,
+        large: limits.max_memory / 2,
+        connections: usize::try_from(limits.max_connections).unwrap_or(usize::MAX),
+    });
     let (close, closing) = watch::channel(false);
     let (closed, callers_closed) = watch::channel(false);
     let gateway = tokio::spawn(serve_http(
         listeners.callers,
-        Gateway::new(shell.clone()),
-        max_connections,
+        Gateway::new(shell.clone(), callers.clone()),
+        callers,
         idle,
         (closing, closed),
     ));
@@ -230,7 +236,7 @@
 async fn serve_http<E>(
     listener: TcpListener,
     app: E,
-    connections: usize,
+    budget: CallerBudget,
     idle: Duration,
     (closing, closed): (watch::Receiver<bool>, watch::Sender<bool>),
 ) where
@@ -238,7 +244,7 @@
 {
     let mut ends = closed.subscribe();
     let acceptor = match TcpAcceptor::from_tokio(listener) {
-        Ok(acceptor) => LimitedAcceptor::new(acceptor, connections, closing, closed),
+        Ok(acceptor) => LimitedAcceptor::new(acceptor, budget, closing, closed),
         Err(e) => return log::error!("listener failed: {e}"),
     };
     let stop = async move {
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::caller_stream::RECEIVE_BUFFER;
 use crate::cli::Connect;
 use crate::dynamo::DynamoTable;
 use crate::engine_client::{EngineSettings, HttpEngine};
@@ -40,7 +41,8 @@
     pub(crate) fn new(table: T, objects: O, vms: V, settings: &Settings) -> Self {
         let progress_timeout = settings.limits.progress_timeout.to_std();
         let engine_settings = EngineSettings { progress_timeout, ..EngineSettings::default() };
-        let http = HttpClient::new(HttpSettings::default());
+        let receive_buffer = Some(RECEIVE_BUFFER);
+        let http = HttpClient::new(HttpSettings { receive_buffer, ..HttpSettings::default() });
         Self { clock: BootClock, table, objects, vms, http, engine_settings }
     }
 }
--- a/src/request_proxy.rs
+++ b/src/request_proxy.rs
@@ -3,17 +3,20 @@
 //! A send without an answer is repeated only if the request did not run or may run twice.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyDataStream, BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::adapter_wait::{AdapterWait, wait_for_adapter};
 use crate::admission::{Admission, admit};
+use crate::caller_budget::{CallerConnection, CallerRequest};
+use crate::caller_stream::{self, BodyError};
 use crate::crash_evidence::Feature;
 use crate::crash_watch;
 use crate::edge::Edge;
@@ -51,6 +54,10 @@
 const DISCARD_TIMEOUT: Ms = Ms::secs(5);
 /// Idle timeout of callers' connections before a configuration is read.
 pub(crate) const DEFAULT_CALLER_IDLE: Ms = Ms::secs(15);
+/// Reason of a refusal whose body exceeds the limit.
+const REASON_LARGE: &str = "body_too_large";
+/// Reason of a refusal for want of memory for callers.
+const REASON_MEMORY: &str = "caller_memory";
 /// Most sends of one request, whatever its route allows.
 const MAX_SENDS: usize = 4;
 
@@ -80,9 +87,19 @@
     }
 }
 
+/// The refusal of a request whose memory others need.
+fn memory_refusal() -> Refusal {
+    Refusal::unavailable(REASON_MEMORY, DEFAULT_RETRY_AFTER)
+}
+
 /// Answers a caller's request and logs it.
-pub(crate) async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub(crate) async fn handle(
+    edge: Rc<Edge>,
+    caller: Arc<CallerConnection>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
     let guard = InFlightGuard::new(&edge);
+    let mut held = CallerRequest::begin(caller);
     let parsed = headers::parse_request(request.headers());
     let attempt = parsed.attempt.clone().unwrap_or_default();
     let mut log = RequestLog::new(&edge, &attempt);
@@ -91,10 +108,16 @@
     let stopping = *edge.stopping.borrow();
     let served = tokio::select! {
         biased;
-        served = serve_request(&edge, request, &parsed, &mut log) => Some(served),
+        served = serve_request(&edge, request, &parsed, &mut held, &mut log) => Some(served),
         () = edge.until_grace_over() => None,
     };
     let served = served.unwrap_or_else(|| Err(unfinished_refusal(&log)));
+    // Ends with the response, or with the stream that it is moved into.
+    let mut held = Some(held);
+    let served = served.and_then(|served| match served {
+        ProxyResponse::Whole(whole) => hold_answer(whole, &mut held).map(ProxyResponse::Whole),
+        events @ ProxyResponse::Events(_) => Ok(events),
+    });
     let mut response = match served {
         Ok(ProxyResponse::Whole(response)) => {
             log.status = response.status().as_u16();
@@ -107,7 +130,7 @@
             let (head, stream) = answer.into_parts();
             log.status = head.status.as_u16();
             log.set_outcome(LEFT, "during the stream");
-            let events = stream.into_events(log, guard);
+            let events = stream.into_events(log, guard, held);
             Response::from_parts(head, ResponseBody::Events(Box::new(events)))
         }
         Err(refusal) => {
@@ -117,7 +140,8 @@
             if let Some(after) = refusal.retry_after {
                 headers::set_retry_after(response.headers_mut(), after);
             }
-            if refusal.status == StatusCode::PAYLOAD_TOO_LARGE {
+            let body_unread = [REASON_LARGE, REASON_MEMORY].contains(&refusal.reason);
+            if body_unread {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             headers::set_attempt_id(response.headers_mut(), &attempt);
@@ -130,10 +154,25 @@
     response
 }
 
+/// Charges a complete answer to its caller until it has been written.
+fn hold_answer(
+    response: Response<Bytes>,
+    held: &mut Option<CallerRequest>,
+) -> Result<Response<Bytes>, Refusal> {
+    let (head, body) = response.into_parts();
+    let Some(request) = held.take().filter(|_| !body.is_empty()) else {
+        return Ok(Response::from_parts(head, body));
+    };
+    let body = request.answer(body);
+    let body = body.map_err(|_| Refusal::new(StatusCode::BAD_GATEWAY, REASON_MEMORY))?;
+    Ok(Response::from_parts(head, body))
+}
+
 async fn serve_request(
     edge: &Rc<Edge>,
     request: Request<Incoming>,
     parsed: &RequestHeaders,
+    held: &mut CallerRequest,
     log: &mut RequestLog,
 ) -> Result<ProxyResponse, Refusal> {
     let begun = BootClock.now();
@@ -150,7 +189,8 @@
     log.team = team.as_ref().map(|t| t.name.clone());
     let limit = routing.limits.map_or(DEFAULT_BODY_BYTES, |l| l.body_bytes);
     let idle = routing.limits.map_or(DEFAULT_CALLER_IDLE, |l| l.idle_timeout);
-    let body = read_body(&mut body, limit, idle).await?;
+    let body = read_body(&mut body, limit, idle, held).await?;
+    held.run().map_err(|_| memory_refusal())?;
     let timeout = if route.timeout.0 > 0 { route.timeout } else { DEFAULT_TIMEOUT };
     let time = parsed.deadline.unwrap_or(timeout).min(timeout);
     let features = crash_watch::features_of(&parts, parsed, team.as_deref(), &body);
@@ -251,16 +291,23 @@
     }
 }
 
-async fn read_body(body: &mut RequestBody, limit: usize, idle: Ms) -> Result<Bytes, Refusal> {
-    let too_large = Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+async fn read_body(
+    body: &mut RequestBody,
+    limit: usize,
+    idle: Ms,
+    held: &mut CallerRequest,
+) -> Result<Bytes, Refusal> {
     let Some(body) = body.0.as_mut() else { return Ok(Bytes::new()) };
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large);
-    }
-    match timeout(idle.to_std(), Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large),
-        Ok(Err(_)) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body_broken")),
+    let announced = body.size_hint().exact();
+    let mut pieces = BodyDataStream::new(body);
+    let read = caller_stream::read_body(&mut pieces, limit, announced, held);
+    match timeout(idle.to_std(), read).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => {
+            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, REASON_LARGE))
+        }
+        Ok(Err(BodyError::Refused)) => Err(memory_refusal()),
+        Ok(Err(BodyError::Broken(_))) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body_broken")),
         Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_late")),
     }
 }
--- a/src/request_send.rs
+++ b/src/request_send.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 
+use crate::caller_budget::CallerRequest;
 use crate::crash_evidence::Feature;
 use crate::edge::Edge;
 use crate::endpoint_choice::Choice;
@@ -44,13 +45,19 @@
 }
 
 impl OpenStream {
-    pub(crate) fn into_events(self, log: RequestLog, guard: InFlightGuard) -> EventStream {
+    pub(crate) fn into_events(
+        self,
+        log: RequestLog,
+        guard: InFlightGuard,
+        held: Option<CallerRequest>,
+    ) -> EventStream {
         EventStream {
             answer: self.answer,
             sent: self.sent,
             log,
             end: EventStream::cut_after(self.time_left),
             guard,
+            held,
             tail: StreamTail::default(),
             unframed: self.unframed,
         }
--- a/src/response_body.rs
+++ b/src/response_body.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
 
+use crate::caller_budget::CallerRequest;
 use crate::edge::Edge;
 use crate::endpoint_table::RequestOutcome;
 use crate::http_client::IncomingResponse;
@@ -53,6 +54,8 @@
     pub(crate) end: Pin<Box<Sleep>>,
     #[expect(dead_code, reason = "counts until it is dropped")]
     pub(crate) guard: InFlightGuard,
+    #[expect(dead_code, reason = "charges the caller until it is dropped")]
+    pub(crate) held: Option<CallerRequest>,
     /// Last bytes received, to tell a complete stream from a truncated one.
     pub(crate) tail: StreamTail,
     /// The response has neither a length nor chunked encoding, so only its events show
