--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -44,6 +44,8 @@
     Short { body: usize, piece: usize, pause: Duration },
     /// A whole body.
     Whole { body: usize },
+    /// A whole completion request with a list of this many small numbers.
+    Numbers { count: usize },
     /// A length of `announced` bytes, and `sent` bytes of the body.
     Announced { announced: usize, sent: usize },
     /// A request without a body whose answer is never read.
@@ -63,6 +65,9 @@
             Self::Short { body, .. } | Self::Whole { body } => {
                 format!("Content-Length: {body}\r\n\r\n")
             }
+            Self::Numbers { count } => {
+                format!("Content-Length: {}\r\n\r\n", numbers(count).len())
+            }
             Self::Announced { announced, .. } => format!("Content-Length: {announced}\r\n\r\n"),
             Self::Unread | Self::Pipelined { .. } => "Content-Length: 0\r\n\r\n".to_owned(),
             Self::Head { .. } | Self::Idle => String::new(),
@@ -80,6 +85,7 @@
             }
             Self::Short { body, piece, .. } => split(body - 1, piece),
             Self::Whole { body } => split(body, 64 << 10),
+            Self::Numbers { count } => vec![numbers(count).into_bytes()],
             Self::Announced { sent, .. } => split(sent, 64 << 10),
             Self::Pipelined { behind } => split(behind, 64 << 10),
             Self::Head { bytes } => vec![format!("X-Pad: {}", "x".repeat(bytes)).into_bytes()],
@@ -95,6 +101,11 @@
     }
 }
 
+fn numbers(count: usize) -> String {
+    let list = "1,".repeat(count - 1);
+    format!(r#"{{"model":"team0-001","messages":[{{"role":"user"}}],"list":[{list}1]}}"#)
+}
+
 fn split(bytes: usize, piece: usize) -> Vec<Vec<u8>> {
     let mut pieces = vec![vec![b'x'; piece]; bytes / piece];
     pieces.push(vec![b'x'; bytes % piece]);
--- a/tests/serve_crowd.rs
+++ b/tests/serve_crowd.rs
@@ -146,6 +146,15 @@
     scene.withstands(CROWD, Manner::Whole { body: MAX_BODY }, CALL).await;
 }
 
+// Each number became a value of its own, many times its size, and again for each attempt.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lists_of_small_numbers_stay_within_memory() {
+    let _turn = turn().await;
+    let mut scene = Scene::start().await;
+    let manner = Manner::Numbers { count: MAX_BODY / 2 - 100 };
+    scene.withstands(CROWD, manner, COMPLETION).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn bodies_far_over_the_limit_stay_within_memory() {
     let _turn = turn().await;
