Charge answers that are not read, and choose who yields by what is short

An unread stream holds more than the buffers of a running request (up to 386 KiB in an earlier measurement of serve), so it is charged 128 KiB from the moment at which a write finds the buffer full. For want of a connection the one that has waited longest yields, not the one with the most memory. A single body above the limits counts as the limit, so that it is served if nothing else is large. serve reads answers of endpoints within half of limits.memory together instead of 128 MiB.

--- a/src/caller_budget.rs
+++ b/src/caller_budget.rs
@@ -5,7 +5,7 @@
 //! connections yield that hold memory without running a request: idle ones, those whose body has
 //! not arrived, and those whose answer is not read. The one that has taken the most memory for
 //! the longest time goes first, so that a body in transit outlasts one that stopped short of its
-//! end. A request that has not been sent is refused; other connections are closed.
+//! end; for want of a connection, the one that has waited longest. A request that has not been sent is refused; other connections are closed.
 //!
 //! [`Ledger`] decides without I/O; [`CallerBudget`] shares it between connections.
 
@@ -25,6 +25,9 @@
 pub const CONNECTION_BYTES: u64 = 32 << 10;
 /// Charge of a running request, in bytes: the buffers of the connection to its endpoint.
 pub const REQUEST_BYTES: u64 = 32 << 10;
+/// Charge of an answer that is not read, in bytes: what waits in buffers between its endpoint and
+/// its caller.
+pub const UNREAD_BYTES: u64 = 128 << 10;
 /// Bytes of a connection's bodies and answers that don't count as large.
 pub const SMALL_BYTES: u64 = 64 << 10;
 /// Bytes of a head that the charge of its connection covers.
@@ -74,11 +77,24 @@
     Close,
 }
 
+/// For whom room is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Requester {
+    /// A new connection.
+    New,
+    /// A connection that yields itself if it is the heaviest.
+    Equal(ConnectionId),
+    /// A connection that does not yield.
+    Kept(ConnectionId),
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     phase: Phase,
     /// Bytes of its head, bodies and answers.
     held: u64,
+    /// Most of them that count against the limits.
+    most: u64,
     /// Bytes of the head, part of `held`.
     head: u64,
     /// Whether the charge for a running request is part of its charge.
@@ -92,28 +108,35 @@
 impl Entry {
     fn charge(&self) -> u64 {
         let open = if self.phase == Phase::Closed { 0 } else { CONNECTION_BYTES };
-        open + self.held + if self.runs { REQUEST_BYTES } else { 0 }
+        let runs = if self.runs { REQUEST_BYTES } else { 0 };
+        let unread = if self.unread_since.is_some() { UNREAD_BYTES } else { 0 };
+        open + self.counted() + runs + unread
+    }
+
+    /// Bytes held that count: a single body that exceeds the limits fits all the same.
+    fn counted(&self) -> u64 {
+        self.held.min(self.most)
     }
 
     fn large(&self) -> u64 {
-        self.held.saturating_sub(SMALL_BYTES)
+        self.counted().saturating_sub(SMALL_BYTES)
     }
 
-    /// Memory times the time for which it has been held, for a connection that can yield.
-    fn weight(&self, now: Ms) -> Option<u64> {
+    /// Time for which it has held what it holds, for a connection that can yield.
+    fn held_for(&self, now: Ms) -> Option<u64> {
         let since = match (self.phase, self.unread_since) {
             (Phase::Closing | Phase::Closed, _) => return None,
             (Phase::Running, since) => since?,
             (_, Some(since)) => since.min(self.since),
             (_, None) => self.since,
         };
-        Some(self.charge().saturating_mul(now.since(since).0 + 1))
+        Some(now.since(since).0 + 1)
     }
 
     /// What it gives back because it was told to yield.
     fn returning(&self) -> (u64, u64) {
         match self.phase {
-            Phase::Refused => (self.held, self.large()),
+            Phase::Refused => (self.counted(), self.large()),
             Phase::Closing => (self.charge(), self.large()),
             _ => (0, 0),
         }
@@ -158,10 +181,11 @@
         now: Ms,
         id: ConnectionId,
     ) -> Result<Vec<(ConnectionId, Yield)>, BudgetFull> {
-        let yielding = self.make_room(now, None, (CONNECTION_BYTES, 0, 1))?;
+        let yielding = self.make_room(now, Requester::New, (CONNECTION_BYTES, 0, 1))?;
         let entry = Entry {
             phase: Phase::Idle,
             held: 0,
+            most: SMALL_BYTES + self.limits.large,
             head: 0,
             runs: false,
             since: now,
@@ -184,13 +208,13 @@
         bytes: u64,
     ) -> Result<Vec<(ConnectionId, Yield)>, BudgetFull> {
         let Some(entry) = self.entries.get(&id) else { return Err(BudgetFull) };
-        let large = (entry.held + bytes).saturating_sub(SMALL_BYTES) - entry.large();
-        // What alone exceeds the limit is served if nothing else that is large is held.
-        let alone = self.large == entry.large();
-        let yielding = match alone && self.used + bytes <= self.limits.memory {
-            true => Vec::new(),
-            false => self.make_room(now, Some(id), (bytes, large, 0))?,
-        };
+        let after = Entry { held: entry.held + bytes, ..entry.clone() };
+        let counted = after.counted() - entry.counted();
+        let large = after.large() - entry.large();
+        // It does not yield itself if nothing else is large.
+        let alone = self.large == entry.large() && large > 0;
+        let requester = if alone { Requester::Kept(id) } else { Requester::Equal(id) };
+        let yielding = self.make_room(now, requester, (counted, large, 0))?;
         self.adjust(id, |e| e.held += bytes);
         Ok(yielding)
     }
@@ -245,7 +269,7 @@
         if self.entries.get(&id).is_none_or(|e| e.phase != Phase::Receiving) {
             return Err(BudgetFull);
         }
-        let yielding = self.make_room(now, Some(id), (REQUEST_BYTES, 0, 0))?;
+        let yielding = self.make_room(now, Requester::Equal(id), (REQUEST_BYTES, 0, 0))?;
         self.adjust(id, |e| (e.phase, e.runs) = (Phase::Running, true));
         Ok(yielding)
     }
@@ -262,9 +286,22 @@
         self.remove_if_done(id);
     }
 
-    /// The caller does not read, or reads again.
-    pub fn set_unread(&mut self, now: Ms, id: ConnectionId, unread: bool) {
+    /// The caller does not read, or reads again; returns the connections that yield.
+    ///
+    /// # Errors
+    /// There is no room for what it does not read.
+    pub fn set_unread(
+        &mut self,
+        now: Ms,
+        id: ConnectionId,
+        unread: bool,
+    ) -> Result<Vec<(ConnectionId, Yield)>, BudgetFull> {
         self.adjust(id, |e| e.unread_since = unread.then_some(now));
+        if !unread {
+            return Ok(Vec::new());
+        }
+        let room = self.make_room(now, Requester::Equal(id), (0, 0, 0));
+        room.inspect_err(|_| self.adjust(id, |e| e.unread_since = None))
     }
 
     /// The connection has closed. What its request holds stays charged until it is released.
@@ -274,7 +311,7 @@
         }
         self.adjust(id, |e| {
             e.held -= std::mem::take(&mut e.head);
-            e.phase = Phase::Closed;
+            (e.phase, e.unread_since) = (Phase::Closed, None);
         });
         self.remove_if_done(id);
     }
@@ -298,7 +335,7 @@
     fn make_room(
         &mut self,
         now: Ms,
-        id: Option<ConnectionId>,
+        requester: Requester,
         (bytes, large, connections): (u64, u64, usize),
     ) -> Result<Vec<(ConnectionId, Yield)>, BudgetFull> {
         let limits = self.limits;
@@ -319,24 +356,29 @@
         let mut yielding = Vec::new();
         while !fits(used, held, open) {
             let is_chosen = |id: &ConnectionId| yielding.iter().any(|(chosen, _)| chosen == id);
-            // Only the memory of large bodies and answers helps another large one.
-            let only_large =
-                used + bytes <= limits.memory && open + connections <= limits.connections;
+            let no_memory = used + bytes > limits.memory;
+            let no_connection = open + connections > limits.connections;
+            // Only the memory of large bodies and answers helps another large one, and each
+            // connection gives back one.
+            let only_large = !no_memory && !no_connection;
+            let weight = |e: &Entry| {
+                let share = if no_memory || only_large { e.charge() } else { 1 };
+                Some(e.held_for(now)?.saturating_mul(share))
+            };
             let heaviest = self
                 .entries
                 .iter()
                 .filter(|(id, e)| !is_chosen(id) && (!only_large || e.large() > 0))
-                .filter_map(|(id, e)| Some((e.weight(now)?, *id)))
+                .filter(|(id, _)| requester != Requester::Kept(**id))
+                .filter_map(|(id, e)| Some((weight(e)?, *id)))
                 .max();
             let Some((_, chosen)) = heaviest else { return Err(BudgetFull) };
-            if Some(chosen) == id {
+            if requester == Requester::Equal(chosen) {
                 return Err(BudgetFull);
             }
             let e = &self.entries[&chosen];
             let (returned, how) = match e.phase {
-                Phase::Receiving if open + connections <= limits.connections => {
-                    (e.held, Yield::Refuse)
-                }
+                Phase::Receiving if !no_connection => (e.counted(), Yield::Refuse),
                 _ => (e.charge() - e.returning().0, Yield::Close),
             };
             held -= e.large() - e.returning().1;
@@ -475,8 +517,11 @@
     }
 
     /// The caller does not read, or reads again.
-    pub(crate) fn set_unread(&self, unread: bool) {
-        self.budget.lock().ledger.set_unread(BootClock.now(), self.id, unread);
+    ///
+    /// # Errors
+    /// There is no room for what it does not read.
+    pub(crate) fn set_unread(&self, unread: bool) -> Result<(), BudgetFull> {
+        self.decide(|ledger, now, id| ledger.set_unread(now, id, unread))
     }
 
     /// Charges for bytes read after `read` others since the last request.
--- a/src/caller_stream.rs
+++ b/src/caller_stream.rs
@@ -76,13 +76,15 @@
         }
     }
 
-    fn on_written(&mut self, written: &Poll<io::Result<usize>>) {
+    fn on_written(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let unread = written.is_pending();
-        if unread != self.unread {
-            self.unread = unread;
-            self.connection.set_unread(unread);
-        }
         self.read = 0;
+        if std::mem::replace(&mut self.unread, unread) != unread
+            && self.connection.set_unread(unread).is_err()
+        {
+            return Poll::Ready(Err(io::Error::other("no memory for an answer that is not read")));
+        }
+        written
     }
 }
 
@@ -124,8 +126,7 @@
         let this = self.get_mut();
         this.check(cx)?;
         let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
-        this.on_written(&written);
-        written
+        this.on_written(written)
     }
 
     fn poll_write_vectored(
@@ -136,8 +137,7 @@
         let this = self.get_mut();
         this.check(cx)?;
         let written = Pin::new(&mut this.stream).poll_write_vectored(cx, slices);
-        this.on_written(&written);
-        written
+        this.on_written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -25,6 +25,9 @@
 /// Time limit for a status query or probe of a service endpoint.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Fraction of the memory for callers that answers may take while they are read.
+const BUFFERED_FRACTION: u64 = 2;
+
 /// Clients for the platform's services, and for endpoints over HTTP.
 pub(crate) struct NodePorts<T, O, V> {
     clock: BootClock,
@@ -41,8 +44,12 @@
     pub(crate) fn new(table: T, objects: O, vms: V, settings: &Settings) -> Self {
         let progress_timeout = settings.limits.progress_timeout.to_std();
         let engine_settings = EngineSettings { progress_timeout, ..EngineSettings::default() };
-        let receive_buffer = Some(RECEIVE_BUFFER);
-        let http = HttpClient::new(HttpSettings { receive_buffer, ..HttpSettings::default() });
+        let buffered = settings.limits.max_memory / BUFFERED_FRACTION;
+        let http = HttpClient::new(HttpSettings {
+            receive_buffer: Some(RECEIVE_BUFFER),
+            max_buffered: usize::try_from(buffered).unwrap_or(usize::MAX),
+            ..HttpSettings::default()
+        });
         Self { clock: BootClock, table, objects, vms, http, engine_settings }
     }
 }
