--- a/tests/edge_crowd.rs
+++ b/tests/edge_crowd.rs
@@ -92,6 +92,7 @@
     fn check(&mut self) {
         assert!(!self.node.has_exited(), "the process has ended");
         let Peak { memory, files } = self.watch.peak();
+        println!("peak: {} MB, {files} descriptors", memory / 1_000_000);
         assert!(memory < MACHINE_MB * 1_000_000, "{} of {MACHINE_MB} MB", memory / 1_000_000);
         let sockets = MAX_FILES - RESERVED_FILES;
         assert!(files < sockets, "{files} descriptors of {sockets}");
