--- a/src/caller_stream.rs
+++ b/src/caller_stream.rs
@@ -12,7 +12,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::caller_budget::{BudgetFull, CallerBudget, CallerConnection, CallerRequest};
+use crate::caller_budget::{CallerBudget, CallerConnection, CallerRequest};
+use crate::caller_ledger::BudgetFull;
 
 /// Size of a socket's receive buffer, in bytes. The system grows it otherwise while a caller sends.
 pub(crate) const RECEIVE_BUFFER: usize = 32 << 10;
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -14,7 +14,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::caller_budget::{BudgetLimits, CallerBudget};
+use crate::caller_budget::CallerBudget;
+use crate::caller_ledger::BudgetLimits;
 use crate::caller_stream::RECEIVE_BUFFER;
 use crate::crash_watch::{self, CrashWatch};
 use crate::departures::Departures;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,7 +13,8 @@
 use poem::{Body, Request, Response};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::caller_budget::{BudgetFull, CallerBudget, CallerRequest};
+use crate::caller_budget::{CallerBudget, CallerRequest};
+use crate::caller_ledger::BudgetFull;
 use crate::caller_stream::{self, BodyError};
 use crate::completion::{self, CompletionCall};
 use crate::config::{Config, ModelError};
--- a/src/node_tasks.rs
+++ b/src/node_tasks.rs
@@ -13,7 +13,8 @@
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::admin_api::AdminApi;
-use crate::caller_budget::{BudgetLimits, CONNECTION_BYTES, CallerBudget};
+use crate::caller_budget::CallerBudget;
+use crate::caller_ledger::{BudgetLimits, CONNECTION_BYTES};
 use crate::caller_stream::bound_buffers;
 use crate::config_store;
 use crate::connection_limit::LimitedAcceptor;
--- a/tests/caller_budget.rs
+++ b/tests/caller_ledger.rs
@@ -2,7 +2,7 @@
 //! on.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sycamorefork::caller_budget::{
+use sycamorefork::caller_ledger::{
     BudgetFull, BudgetLimits, CONNECTION_BYTES, ConnectionId, Ledger, REQUEST_BYTES, SMALL_BYTES,
     UNREAD_BYTES, Yield,
 };
