Reserve the ports of test nodes across processes; charges returned late

Two processes that start nodes chose the same port: the test run beside a soak failed at a start of a node with '127.0.0.1:25185: Address already in use'. A chosen port was only tried, not held, until the node bound it. It is now held at another loopback address, for tests of both roles and the soak.

caller_ledger: random steps whose connections yield late or not at all return all charges in the end.

--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -1,10 +1,12 @@
 //! Runs an edge node as a separate process.
 
 use std::fs::OpenOptions;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -33,17 +35,24 @@
 
 /// Candidate ports. They lie below the range that the kernel uses for outgoing connections,
 /// which could occupy a port before the node listens on it.
-const PORT_RANGE: std::ops::Range<u32> = 20_000..32_000;
+const PORT_RANGE: Range<u32> = 20_000..32_000;
 
-/// Returns a free loopback port, a different one on each call.
-fn free_port() -> u16 {
+/// Address at which a process that runs nodes holds the ports that it has chosen for them. The
+/// nodes bind theirs later, and other processes may look for ports meanwhile.
+const RESERVED_AT: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 9);
+
+/// Returns a free loopback port of a range, which this process reserves until it ends.
+pub fn reserve_port(range: &Range<u32>) -> u16 {
     static CALLS: AtomicU32 = AtomicU32::new(0);
-    let count = PORT_RANGE.end - PORT_RANGE.start;
+    static RESERVED: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    let count = range.end - range.start;
     loop {
         let n =
             CALLS.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(61));
-        let port = (PORT_RANGE.start + n % count) as u16;
+        let port = (range.start + n % count) as u16;
+        let Ok(reservation) = TcpListener::bind((RESERVED_AT, port)) else { continue };
         if TcpListener::bind(loopback(port)).is_ok() {
+            RESERVED.lock().unwrap_or_else(PoisonError::into_inner).push(reservation);
             return port;
         }
     }
@@ -63,7 +72,7 @@
 impl NodeAddresses {
     /// Selects free loopback ports.
     pub fn free() -> Self {
-        let [front, ready, inner] = [(); 3].map(|()| loopback(free_port()));
+        let [front, ready, inner] = [(); 3].map(|()| loopback(reserve_port(&PORT_RANGE)));
         Self { frontend: front, ready, internal: inner }
     }
 }
--- a/tests/caller_ledger.rs
+++ b/tests/caller_ledger.rs
@@ -18,22 +18,27 @@
 /// Bytes by which a body grows.
 const PIECE: u64 = 64 << 10;
 
-/// A ledger whose connections do at once what they are told to.
+/// A ledger whose connections do at once what they are told to, unless they are lazy.
 struct Fixture {
     ledger: Ledger,
     now: Ms,
     held: Vec<(ConnectionId, u64)>,
     refused: Vec<ConnectionId>,
     closed: Vec<ConnectionId>,
+    /// Whether connections ignore that they are to yield.
+    lazy: bool,
 }
 
 impl Fixture {
     fn new() -> Self {
         let (held, refused, closed) = Default::default();
-        Self { ledger: Ledger::new(LIMITS), now: Ms(1_000), held, refused, closed }
+        Self { ledger: Ledger::new(LIMITS), now: Ms(1_000), held, refused, closed, lazy: false }
     }
 
     fn yields(&mut self, yielding: Vec<(ConnectionId, Yield)>) {
+        if self.lazy {
+            return;
+        }
         for (id, how) in yielding {
             self.give_back(id);
             match how {
@@ -242,27 +247,57 @@
     }
 }
 
+/// Does one step of a connection.
+fn step(f: &mut Fixture, id: ConnectionId, step: Step) -> Result<(), BudgetFull> {
+    match step {
+        Step::Begin => f.ledger.begin(f.now, id),
+        Step::Hold(bytes) => f.hold(id, bytes)?,
+        Step::Run => f.run(id)?,
+        Step::End => f.give_back(id),
+        Step::Unread(unread) => {
+            let yielding = f.ledger.set_unread(f.now, id, unread)?;
+            f.yields(yielding);
+        }
+        Step::Close => f.ledger.close(id),
+        Step::Open => f.open(id)?,
+    }
+    Ok(())
+}
+
 quickcheck! {
+    // Connections that yield do so later, or are closed by their callers before.
+    fn charges_are_returned_however_late_connections_yield(steps: Vec<(u8, Step)>) -> bool {
+        let mut f = Fixture::new();
+        f.lazy = true;
+        let mut next = 0;
+        for (n, what) in steps.repeat(8) {
+            f.now = f.now + Ms(3);
+            next += u64::from(matches!(what, Step::Open));
+            let id = if matches!(what, Step::Open) { next } else { u64::from(n) % (next + 1) };
+            // What does not fit leaves the charges as they were, which the end shows.
+            let _ = step(&mut f, id, what);
+        }
+        for id in 0..=next {
+            f.give_back(id);
+            f.ledger.close(id);
+        }
+        f.ledger.used() == 0 && f.ledger.connections() == 0
+    }
+
     fn charges_stay_within_the_limits_and_are_returned(steps: Vec<(u8, Step)>) -> bool {
         let mut f = Fixture::new();
         let mut open = std::collections::BTreeSet::new();
         let mut next = 0;
-        for (n, step) in steps {
+        for (n, what) in steps {
             f.now = f.now + Ms(3);
             let id = open.iter().nth(usize::from(n) % open.len().max(1)).copied();
-            let _ = match (step, id) {
+            // What does not fit leaves the charges as they were, which the end shows.
+            let _ = match (what, id) {
                 (Step::Open, _) => {
                     next += 1;
                     f.open(next).inspect(|()| { open.insert(next); })
                 }
-                (Step::Begin, Some(id)) => { f.ledger.begin(f.now, id); Ok(()) }
-                (Step::Hold(bytes), Some(id)) => f.hold(id, bytes),
-                (Step::Run, Some(id)) => f.run(id),
-                (Step::End, Some(id)) => { f.give_back(id); Ok(()) }
-                (Step::Unread(unread), Some(id)) => {
-                    f.ledger.set_unread(f.now, id, unread).map(|yielding| f.yields(yielding))
-                }
-                (Step::Close, Some(id)) => { f.ledger.close(id); Ok(()) }
+                (what, Some(id)) => step(&mut f, id, what),
                 (_, None) => Ok(()),
             };
             open.retain(|id| !f.closed.contains(id));
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -4,7 +4,7 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -14,6 +14,7 @@
 use http::{Method, header};
 use serde_json::{Value, json};
 use standin::load::LoadPlan;
+use standin::node::reserve_port;
 use sycamorefork::http_client::{
     FullResponse, HttpClient, HttpSettings, IncomingResponse, SendError, build_request,
 };
@@ -27,13 +28,14 @@
 pub const KEYS: [&str; 2] = ["sf_first-team-key", "sf_second-team-key"];
 /// Limits on callers in the nodes' settings.
 const LIMITS: &str = "body = 65_536\nslow = \"1s\"\nrequest = \"20s\"\nprogress = \"2s\"\n";
+/// Candidate ports of nodes.
+const PORT_RANGE: std::ops::Range<u32> = 10_000..20_000;
 /// Number of adapters of each team.
 pub const ADAPTERS: usize = 40;
 /// Time limit for each wait; only guards against hanging, as no test asserts on elapsed time.
 const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
 static NEXT_DIRECTORY: AtomicU32 = AtomicU32::new(0);
-static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
 /// A child process, killed when it is dropped.
 pub struct Process {
@@ -99,14 +101,7 @@
 /// The port is below the ephemeral range, so that no outgoing connection takes it before
 /// the node binds it.
 fn free_addr() -> SocketAddr {
-    loop {
-        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = 10_000 + (std::process::id() * 331 + number) % 20_000;
-        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(addr).is_ok() {
-            return addr;
-        }
-    }
+    SocketAddr::from(([127, 0, 0, 1], reserve_port(&PORT_RANGE)))
 }
 
 /// An endpoint stand-in.
