serve: charge the body of a call that goes on without its caller

A call that must not be repeated runs in a task of its own, also when its caller has left. The task kept the body, but the charge ended with the caller's connection, so bodies of callers that left were not counted (found by reading). The charge now belongs to the body and ends with its last copy. The charge of a body over the limit is returned before its rest is read.

--- a/src/caller_budget.rs
+++ b/src/caller_budget.rs
@@ -199,6 +199,13 @@
         self.connection.budget.lock().ledger.release(self.connection.id, held);
     }
 
+    /// Makes `body` hold the charge of the request's body until its last copy is dropped, which
+    /// may be after the end of the request.
+    pub(crate) fn keep(&mut self, body: Bytes) -> Bytes {
+        let held = std::mem::take(&mut self.held);
+        Bytes::from_owner(KeptBody { body, connection: self.connection.clone(), held })
+    }
+
     /// Makes `answer` hold the request's charge until it has been written or is dropped, in
     /// place of the request's body.
     ///
@@ -225,6 +232,24 @@
     }
 }
 
+struct KeptBody {
+    body: Bytes,
+    connection: Arc<CallerConnection>,
+    held: u64,
+}
+
+impl AsRef<[u8]> for KeptBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+impl Drop for KeptBody {
+    fn drop(&mut self) {
+        self.connection.budget.lock().ledger.release(self.connection.id, self.held);
+    }
+}
+
 struct HeldAnswer {
     answer: Bytes,
     _request: CallerRequest,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -158,6 +158,8 @@
         let body = self.receive_body(req, &mut held).await.map_err(|d| refused.with_denial(d))?;
         held.run().map_err(|_| refused.with_denial(memory_denial()))?;
         refuse_key_in_request(req, &body).map_err(|d| refused.with_denial(d))?;
+        // A call that must not be repeated goes on when its caller has left.
+        let body = held.keep(body);
         let mut path = format!("/{tail}");
         if let Some(query) = req.uri().query() {
             path = format!("{path}?{query}");
@@ -201,6 +203,7 @@
         match timeout_at(end, read).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(BodyError::TooLarge)) => {
+                held.release();
                 // The result is ignored: the request is refused whatever its rest is.
                 let rest = max.saturating_add(DRAIN_MAX_BYTES);
                 let _ = timeout_at(end, discard(&mut pieces, rest)).await;
--- a/tests/serve_crowd.rs
+++ b/tests/serve_crowd.rs
@@ -24,6 +24,9 @@
     connections = 360\n";
 /// Callers of a crowd. Their bodies exceed the machine's memory.
 const CROWD: usize = 160;
+/// Crowds of callers that leave without an answer, and the callers of each.
+const LEAVING_CROWDS: usize = 6;
+const LEAVING_CROWD: usize = 40;
 /// Callers of a crowd whose heads do not end; they are within the limit on connections.
 const HEAD_CROWD: usize = 350;
 /// Callers of a crowd that exceeds the limit on connections.
@@ -62,6 +65,12 @@
         crowd
     }
 
+    async fn freeze_services(&self, freeze: bool) {
+        for e in self.d.endpoints.iter().filter(|e| e.role == "service") {
+            self.d.inject_fault(e.addr, json!({ "freeze": freeze })).await;
+        }
+    }
+
     /// Sends a request until it is answered, as a caller does that is told to come back.
     async fn answers(&self, name: &str, body: &str) {
         let key = format!("Bearer {}", KEYS[0]);
@@ -165,6 +174,21 @@
     scene.withstands(CROWD, Manner::Announced { announced: over, sent: over - 1 }, CALL).await;
 }
 
+// The body of a call that must not be repeated is kept until its outcome is known, also if its
+// caller has left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bodies_of_callers_that_left_stay_within_memory() {
+    let _turn = turn().await;
+    let mut scene = Scene::start().await;
+    scene.freeze_services(true).await;
+    for _ in 0..LEAVING_CROWDS {
+        drop(scene.crowd(LEAVING_CROWD, Manner::Whole { body: MAX_BODY }, CALL).await);
+    }
+    scene.freeze_services(false).await;
+    scene.answers_ordinary_request("after callers that left").await;
+    scene.check();
+}
+
 // Callers beyond the limit waited until one of the others left.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn connections_without_a_request_leave_room_for_others() {
