serve: close connections that speak HTTP/2 however their preface arrives

The budget charges a connection for one request at a time, so connections that speak HTTP/2 are closed. The preface was recognised only in the first read; sent in two parts, it opened a connection with many bodies that no charge covers. It is now followed byte by byte.

serve_crowd::connections_that_speak_http2_are_closed failed before: the connection stayed open.

--- a/src/caller_stream.rs
+++ b/src/caller_stream.rs
@@ -44,8 +44,8 @@
     read: u64,
     /// Whether the last write found the buffer full.
     unread: bool,
-    /// Whether nothing has been read.
-    is_new: bool,
+    /// Bytes of [`HTTP2_PREFACE`] that the caller has sent so far; `None` once it sent others.
+    preface: Option<usize>,
 }
 
 impl CallerStream {
@@ -59,7 +59,7 @@
         caller: SocketAddr,
     ) -> Result<Self, BudgetFull> {
         let connection = budget.open(caller)?;
-        Ok(Self { stream, caller, connection, read: 0, unread: false, is_new: true })
+        Ok(Self { stream, caller, connection, read: 0, unread: false, preface: Some(0) })
     }
 
     pub(crate) fn connection(&self) -> &Arc<CallerConnection> {
@@ -70,6 +70,15 @@
         &self.stream
     }
 
+    /// Whether the connection begins with the preface of HTTP/2, whose end is in `new`.
+    fn speaks_http2(&mut self, new: &[u8]) -> bool {
+        let Some(seen) = self.preface else { return false };
+        let rest = &HTTP2_PREFACE[seen..];
+        let count = rest.len().min(new.len());
+        self.preface = (new[..count] == rest[..count]).then_some(seen + count);
+        self.preface == Some(HTTP2_PREFACE.len())
+    }
+
     fn check(&self, cx: &Context<'_>) -> io::Result<()> {
         match self.connection.poll_closed(cx) {
             true => Err(io::Error::other("closed to free memory or descriptors")),
@@ -106,7 +115,7 @@
         let before = buf.filled().len();
         ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
         let new = &buf.filled()[before..];
-        if std::mem::take(&mut this.is_new) && new.starts_with(HTTP2_PREFACE) {
+        if this.speaks_http2(new) {
             return Poll::Ready(Err(io::Error::other("HTTP/2 is not spoken here")));
         }
         let bytes = new.len() as u64;
--- a/tests/serve_crowd.rs
+++ b/tests/serve_crowd.rs
@@ -11,6 +11,8 @@
 use http::Method;
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Memory of the smallest machine that runs a node, in MB.
@@ -203,6 +205,30 @@
     scene.check();
 }
 
+// One connection would hold many bodies, which the charge of a connection does not cover. The
+// preface was recognised only if it arrived at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_that_speak_http2_are_closed() {
+    let _turn = turn().await;
+    let mut scene = Scene::start().await;
+    let settings = b"\0\0\0\x04\0\0\0\0\0";
+    let preface = [b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", &settings[..]].concat();
+    for first in [preface.len(), 1, 3, 5, 14] {
+        let mut stream = TcpStream::connect(scene.d.nodes[0].callers).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        for part in [&preface[..first], &preface[first..]] {
+            // The rest meets a connection that may be closed already.
+            let _ = stream.write_all(part).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+        let mut answer = Vec::new();
+        let _ = timeout(WAIT_LIMIT, stream.read_to_end(&mut answer)).await.expect("an end");
+        assert!(answer.is_empty(), "{first}: {answer:?}");
+    }
+    scene.answers_ordinary_request("after HTTP/2").await;
+    scene.check();
+}
+
 // The parser's buffer took heads far above the limit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn heads_without_end_stay_within_memory() {
